--- /dev/null
+++ b/gullyoke/choice.py
@@ -0,0 +1,526 @@
+"""All of gullyoke's decisions. The interface is gullyoke/port: its types, the commands a req yields, the stepping.
+
+A front makes one `Server` a process and calls it with the clock in whole microseconds: `read` for each req read,
+`tell` for each word on a req in hand, `gauges` when its wake-up comes, `leave` at the notice to leave, `settle`
+after each batch. What is decided goes out through the port's `Door`. `Server.life` is a req's ordinary path, top
+to bottom; the parts above it decide one thing each. Values marked "ours" are starting values, not from the paper.
+"""
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from gullyoke.port import (
+    FAIL, FORGET, HOLD, REUSE, RUN, SKIP, STOP, WAIT, Call, Keep, Kind, Shed, Stage, StopMode, Word,
+)
+
+TICK = 100_000                     # between wake-ups (ours); one wake-up is out at a time
+HELD, ON, OFF, OVER = "held", "on", "off", "over"   # in the hold; on the cores; at a call; no longer here
+ENDS = (Word.DONE, Word.ERRORED, Word.STOPPED, Word.MOOT)
+
+
+class Learner:
+    """UCRL-M on s, the reqs held or running: counts a pair (s, action) and module, EVI, episodes by doubling.
+
+    Tables: one row for each pair and module, 2 * 3 * (S + 1), fixed at the start; emptied by a restart.
+    """
+
+    def __init__(self, now: int, top: int, cores: int, work: float, holding: float, modules=3, width=0.05,
+                 prior=4.0) -> None:
+        self.top, self.modules, self.width = top, modules, width
+        self.step = max(1, int(work / cores / 12))    # ours: a dozen steps for each req a full server ends
+        self.origin, self.steps, self.s, self.busy = now, 0, 0, False
+        self.holding = holding * self.step            # cost of a req for a step; a refusal costs 1
+        pairs, rate = 2 * (top + 1), cores * self.step / work
+        ends = [rate * min(i // 2, cores) / cores for i in range(pairs)]
+        comes = [rate if i % 2 and i // 2 < top else 0.0 for i in range(pairs)]
+        shed = [0.0 if i % 2 else rate for i in range(pairs)]
+        self.visits = [[prior] * pairs for _ in range(modules)]     # ours: a full server at load 1, lightly held
+        self.ups, self.downs, self.sheds = (
+            [[prior * x for x in row] for _ in range(modules)] for row in (comes, ends, shed))
+        self.before = [row[:] for row in self.visits]
+        self.bias, self.policy = [0.0] * (top + 1), [1] * (top + 1)
+        self.episodes, self.bound, self.fresh, self.ramp = 0, 0, True, modules
+
+    def admits(self) -> bool:
+        """The decision on an arrival. S and the policy bind only while the cores are busy."""
+        admit = not self.busy or (self.s < self.top and self.policy[self.s] == 1)
+        self.bound += not admit
+        return admit
+
+    def count(self, now: int, move: int = 0, shed: int = 0) -> None:
+        """One step with at most one arrival or departure, after the empty ones since the last, in bulk."""
+        due = (now - self.origin) // self.step
+        if due > self.steps:
+            self._add(due - self.steps, 0, 0)
+        if move or shed:
+            self._add(1, move, shed)
+            self.s += move
+
+    def _add(self, n: int, move: int, shed: int) -> None:
+        s = min(self.s, self.top)
+        pair = 2 * s + (self.policy[s] if self.busy else 1)
+        if shed and not move:                         # an arrival refused; one given up later is a departure
+            pair = 2 * s
+        first, self.steps = self.steps, self.steps + n
+        ramping = min(n, self.ramp)                   # the ramping phase's samples are thrown away
+        self.ramp -= ramping
+        first, n = first + ramping, n - ramping
+        for k in range(min(n, self.modules)):
+            m = (first + k) % self.modules
+            self.visits[m][pair] += (n - k - 1) // self.modules + 1
+            self.ups[m][pair] += move > 0
+            self.downs[m][pair] += move < 0
+            self.sheds[m][pair] += shed
+            if self.visits[m][pair] >= 2 * max(0.5, self.before[m][pair]):
+                self.fresh = True
+
+    def solve(self) -> None:
+        """A new episode: the policy that is best in the most optimistic model within the widths.
+
+        Widths have UCRL2's form (Jaksch et al. 2010) with the constants of the birth-and-death case (Anselmi et
+        al. 2022), scaled by `width` (ours). Tridiagonal; starts from the last bias; stops by span.
+        """
+        self.fresh, self.ramp, self.episodes = False, self.modules, self.episodes + 1
+        self.before = [row[:] for row in self.visits]
+        log, worst, rows = math.log(4 * (self.steps + 2)), 1 + self.holding * self.top, []
+        for pair in range(2 * (self.top + 1)):
+            s = pair // 2
+            m = max(range(self.modules), key=lambda m: self.visits[m][pair])
+            n = max(1.0, self.visits[m][pair])
+            gain = min(0.0, self.width * worst * math.sqrt(2 * log / n) - self.holding * s - self.sheds[m][pair] / n)
+            slack, up, down = self.width * math.sqrt(8 * log / n) / 2, self.ups[m][pair] / n, self.downs[m][pair] / n
+            far_down = min(1.0, down + slack) if s else 0.0
+            far_up = min(1.0, up + slack) if s < self.top else 0.0
+            rows.append((gain, far_down, min(max(0.0, up - slack), 1 - far_down),
+                         min(max(0.0, down - slack), 1 - far_up), far_up))
+        bias, top = self.bias, self.top
+        for _ in range(60):
+            gains, policy = [], []
+            for s in range(top + 1):
+                here = bias[s]
+                emptier, fuller = (bias[s - 1] - here if s else 0.0), (bias[s + 1] - here if s < top else 0.0)
+                best = []
+                for gain, d, u, d2, u2 in rows[2 * s:2 * s + 2]:
+                    q = gain + d * emptier + u * fuller
+                    if fuller > 0:                    # unexplored fuller states may look better
+                        q = max(q, gain + d2 * emptier + u2 * fuller)
+                    best.append(q)
+                policy.append(1 if best[1] >= best[0] else 0)
+                gains.append(best[1] if best[1] >= best[0] else best[0])
+            bias = [b + g - gains[0] for b, g in zip(bias, gains)]
+            if max(gains) - min(gains) < self.holding / 8:
+                break
+        base = bias[0]
+        self.bias, self.policy = [b - base for b in bias], policy
+
+    def threshold(self) -> int:
+        """The first s at which the policy refuses, for the log."""
+        return self.policy.index(0) if 0 in self.policy else self.top
+
+
+class RunningCap:
+    """How many may run on the cores: starts at the cores, grows fast while cores are free and work waits."""
+
+    def __init__(self, cores: int) -> None:
+        self.cores, self.now = cores, float(cores)
+
+    def adjust(self, use: float, waiting: int, ceiling: float) -> None:
+        if use < 0.95 and waiting:
+            self.now += 1 + self.now / 4
+        else:
+            self.now -= (self.now - self.cores) / 4
+        self.now = max(1.0, min(self.now, ceiling))
+
+
+class Hold:
+    """A line a handler, turns by weight; within a line, what is within its customer's share goes first.
+
+    Tables: a line for each handler; a line holds only held reqs, and they leave when run or given up.
+    """
+
+    def __init__(self, handlers, by_work: bool) -> None:
+        self.by_work = by_work
+        self.cost = {h: h.target / 6 for h in handlers}      # mean time of a run; first guess ours
+        self.lines = {h: (deque(), deque()) for h in handlers}
+        self.turn = {h: 0.0 for h in handlers}
+        self.clock, self.size = 0.0, 0
+
+    def charge(self, h) -> float:
+        """What one run advances the handler's turn by."""
+        return (self.cost[h] if self.by_work else 1.0) / max(h.value, 1e-9)
+
+    def ran(self, h, took: int) -> None:
+        self.cost[h] += (took - self.cost[h]) / 32
+
+    def add(self, req) -> None:
+        h = req.handler
+        if not any(self.lines[h]):
+            self.turn[h] = max(self.turn[h], self.clock)
+        self.lines[h][req.over_share].append(req)
+        self.size += 1
+
+    def drop(self, req) -> None:
+        self.lines[req.handler][req.over_share].remove(req)
+        self.size -= 1
+
+    def next(self):
+        for over in (0, 1):
+            waiting = [h for h, pair in self.lines.items() if pair[over]]
+            if waiting:
+                h = min(waiting, key=lambda h: self.turn[h])
+                return self.lines[h][over][0]
+        return None
+
+    def took_turn(self, req) -> None:
+        h = req.handler
+        self.clock = self.turn[h]
+        self.turn[h] += self.charge(h)
+
+    def worst(self, now: int, newcomer):
+        """Who goes when one must: from the line longest for its weight, the youngest, if it came just now."""
+        if newcomer.over_share:
+            return newcomer
+        for over in (1, 0):
+            length = {h: len(pair[over]) * self.charge(h) for h, pair in self.lines.items() if pair[over]}
+            if not over:
+                length[newcomer.handler] = length.get(newcomer.handler, 0.0) + self.charge(newcomer.handler)
+            for h in sorted(length, key=length.get, reverse=True):
+                if not over and h is newcomer.handler:
+                    return newcomer
+                last = self.lines[h][over][-1]
+                if (now - last.arrived) * 10 < h.timeout and last.kb >= newcomer.kb / 2:
+                    return last
+        return newcomer
+
+    def hopeless(self, now: int):
+        """The held reqs whose run could no longer earn their value."""
+        return [r for pair in self.lines.values() for line in pair for r in line if self.too_late(r, now)]
+
+    def too_late(self, req, now: int) -> bool:
+        h = req.handler
+        return now + self.cost[h] / 2 > req.arrived + h.target
+
+
+class CallsBelow:
+    """A bound of its own on calls in hand, given-up ones included; the line goes by value when it is slow.
+
+    Tables: the line (left when let out or given up) and the ghosts (given-up calls, gone after `linger`).
+    """
+
+    def __init__(self, now: int, share: float | None, span: int, linger: int) -> None:
+        self.share, self.span, self.linger = share, span, linger
+        self.out, self.line, self.ghosts = 0, [], deque()
+        self.last, self.debt, self.usual, self.lately, self.hush = now, 0.0, 0.0, 0.0, now
+
+    def _account(self, now: int) -> None:
+        while self.ghosts and self.ghosts[0] <= now:
+            self.ghosts.popleft()
+        if self.share is not None:
+            over = self.out + len(self.ghosts) - 0.8 * self.share
+            self.debt = max(0.0, self.debt + over * (now - self.last))
+        self.last = now
+
+    def try_for(self, req, now: int) -> int:
+        return max(1, min(req.due - now, 2 * self.span // 5))
+
+    def room(self, req, now: int) -> bool:
+        """Whether one more keeps the mean over any span under our share, however long it takes (rule 4)."""
+        self._account(now)
+        if now < self.hush or self.share is None:
+            return now >= self.hush
+        over = self.out + len(self.ghosts) + 1 - 0.8 * self.share
+        return self.debt + max(0.0, over) * self.try_for(req, now) <= 0.2 * self.share * self.span
+
+    def began(self, now: int) -> None:
+        self._account(now)
+        self.out += 1
+
+    def ended(self, now: int, word: Word, took: int) -> None:
+        self._account(now)
+        self.out -= 1
+        if word is not Word.CALL_OK:
+            self.hush = now + TICK                           # a failed call is not followed at once by the next
+            if word is not Word.CALL_UNRUN:
+                self.ghosts.append(now + self.linger)
+            return
+        self.lately += (took - self.lately) / (8 if self.lately else 1)
+        self.usual = min(self.usual or self.lately, self.lately) * 1.001
+
+    def slow(self) -> bool:
+        return self.lately > 2 * self.usual
+
+    def wait(self) -> float:
+        """How long a call that joins the line now is likely to take."""
+        return self.lately * (1 + len(self.line) / max(1.0, self.share or 8.0))
+
+    def pick(self):
+        if self.slow():
+            return max(self.line, key=lambda r: r.handler.value)
+        return self.line[0]
+
+
+class Guards:
+    """What the four rules need whatever the rest decides: memory, the crowd on the cores, the drain."""
+
+    def __init__(self, now: int, machine, limits) -> None:
+        self.machine, self.limits, self.started = machine, limits, now
+        self.kb, self.notice, self.stop_at = 0.0, None, None
+        self.keys: dict = {}                                 # kept reqs to when their notes end; `expire` empties
+
+    def speed(self, now: int) -> float:
+        """The share of its speed that the server has at the least."""
+        if not self.machine.fresh_start:
+            return 1.0
+        low = self.limits.start_capacity
+        return min(1.0, low + (1 - low) * (now - self.started) / max(1, self.limits.cold))
+
+    def crowd(self, now: int) -> float:
+        """How many may be on the cores at once, with a margin (ours): those at a call come back by themselves."""
+        return 0.8 * self.machine.cores * (1 + (self.limits.tip_multiple - 1) * self.speed(now))
+
+    def expire(self, now: int) -> None:
+        if self.keys:
+            self.keys = {req: until for req, until in self.keys.items() if until > now}
+
+    def fits(self, kb: float) -> bool:
+        return self.kb + kb + len(self.keys) * self.machine.key_kb <= 0.92 * self.machine.memory_kb
+
+    def may_run(self, req, now: int) -> bool:
+        """Rule 3: nothing that came later than the grace is run; near the stop nothing more is begun."""
+        if self.notice is None:
+            return True
+        return req.arrived <= self.notice + self.limits.drain_grace and now < self.stop_at - 2 * TICK
+
+
+class Advice:
+    """Health answers, and when those turned away should come back."""
+
+    def __init__(self, door, permits) -> None:
+        self.door, self.permits, self.level = door, permits, 1.0
+        door.health(True, True)                              # checks are answered from store, at little cost
+
+    def shed(self, hopeless: bool, excess: float) -> Shed:
+        wait = int(min(self.permits.longest_retry_in, 200_000 + excess)) if self.permits.retry_in else 0
+        return Shed(wait, hopeless)
+
+    def stamp(self, speed: float) -> None:
+        if self.permits.stamp == "weight" and abs(speed - self.level) >= 0.05:
+            self.level = speed
+            self.door.stamp(round(speed, 2))
+
+
+class Server:
+    """One server's decisions."""
+
+    def __init__(self, now, door, chance, handlers, customers, machine, limits, below, permits, fleet) -> None:
+        self.now, self.door, self.stage, self.chance = now, door, Stage(door), chance.random
+        self.machine, self.fleet, self.permits, self.limits = machine, fleet, permits, limits
+        self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
+        self.hold, self.cap = Hold(handlers, fleet.by_work), RunningCap(machine.cores)
+        self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger)
+        self.open: dict = {}                                 # reqs in hand; each leaves at its end
+        self.on = self.off = 0
+        self.quota = {c: [0.0, now] for c in customers}      # one row a customer
+        target = sum(h.target for h in handlers) / len(handlers)
+        self.crowd = machine.cores * limits.tip_multiple
+        self.target, self.handlers = target, handlers
+        self.learner, self.use = None, 0.0
+        door.wake(TICK)
+
+    # What the front calls.
+
+    def read(self, now: int, req) -> None:
+        self.now = now
+        if self.learner is None:                             # S: what memory holds running, above the crowd
+            top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
+                                                 2.5 * self.crowd)))
+            self.learner = Learner(now, top, self.machine.cores, self.target / 6, 1 / self.target)
+        req.life = self.life(req)
+        self.open[req] = None
+        self.step(req, None)
+
+    def tell(self, now: int, req, word: Word) -> None:
+        self.now = now
+        if word is Word.GONE:
+            req.gone = True
+        if req in self.open:
+            self.step(req, word)
+
+    def leave(self, now: int, stop_at: int) -> None:
+        self.now, self.guards.notice, self.guards.stop_at = now, now, stop_at
+        self.door.health(False, True)
+
+    def gauges(self, now: int, use: float) -> None:
+        self.now, self.use = now, use
+        if self.learner:
+            self.learner.count(now)
+            self.learner.busy = use > 0.9                    # the design's gauge
+        self.guards.expire(now)
+        self.cap.adjust(use, self.hold.size, self.guards.crowd(now))
+        self.advice.stamp(self.guards.speed(now))
+        for req in self.hold.hopeless(now):
+            self.step(req, Word.OUT)
+        stopping = self.guards.stop_at is not None and now >= self.guards.stop_at - 2 * TICK
+        for req in list(self.open):                          # rule 1: answered before its time is up, run or not
+            if not req.answered and not req.gone and (stopping or req.due <= now + TICK):
+                self.step(req, Word.LATE)
+        self.door.wake(TICK)
+
+    def settle(self, now: int) -> None:
+        """After a batch: a new episode if one is due, then turns for the cores and for calls."""
+        self.now = now
+        if self.learner and self.learner.fresh:
+            self.learner.count(now)
+            self.learner.solve()
+        while self.below.line and self.below.room(req := self.below.pick(), now):
+            self.step(req, Word.GO)
+        crowd, more = self.guards.crowd(now), self.machine.blowup - 1
+        while (req := self.hold.next()) is not None:
+            if not self.guards.may_run(req, now) or self.hold.too_late(req, now):
+                self.step(req, Word.OUT)
+                continue
+            if self.on >= int(self.cap.now) or self.on + self.off >= crowd or not self.guards.fits(req.kb * more):
+                break
+            self.step(req, Word.GO)
+
+    # A req's path.
+
+    def life(self, req):
+        """The ordinary path of a req, from its reading to its one final answer and its end."""
+        h, guards = req.handler, self.guards
+        self.note_share(req)
+        if not guards.may_run(req, self.now):                # a repeat may have run: no promise then
+            yield FAIL if req.prior else self.advice.shed(False, self.permits.longest_retry_in)
+            return
+        if req.prior is not None and (h.kind is Kind.UNIQUED or h.kind is Kind.REPLAYABLE and self.fleet.fresh_for):
+            yield from self.reuse(req)
+            return
+        if req.due <= self.now + TICK:                       # rule 1: read too late for the next wake-up
+            yield self.advice.shed(True, 0)
+            return
+        keep = h.window if h.kind is Kind.UNIQUED else 0
+        while not guards.fits(req.kb + (self.machine.key_kb if keep else 0)):    # rule 4: memory
+            victim = self.hold.worst(self.now, req)
+            if victim is req:
+                self.learner.count(self.now, 0, 1)
+                yield self.advice.shed(False, self.target / 4)
+                return
+            self.step(victim, Word.OUT)
+        if not self.learner.admits():
+            self.learner.count(self.now, 0, 1)
+            victim = self.hold.worst(self.now, req)
+            if victim is req:
+                yield self.advice.shed(False, self.target / 8)
+                return
+            self.move(req, HELD, quiet=True)
+            victim.doomed = True                             # swapped for the newcomer: s stays
+            self.step(victim, Word.OUT)
+        else:
+            self.move(req, HELD)
+        if keep:
+            guards.keys[req] = self.now + keep
+            yield Keep(keep)
+        self.hold.add(req)
+        word = yield HOLD
+        self.hold.drop(req)
+        if word is not Word.GO:
+            self.move(req, OVER, quiet=req.doomed and word is Word.OUT, shed=1)
+            if keep:                                         # unrun: a later try may be the one
+                guards.keys.pop(req, None)
+                yield FORGET
+            if word is not Word.GONE:
+                yield self.advice.shed(word is Word.LATE or self.hold.too_late(req, self.now), 0)
+            return
+        self.hold.took_turn(req)
+        self.move(req, ON)
+        req.since = self.now
+        if self.fleet.fresh_for and req.keyed and h.kind is Kind.REPLAYABLE and guards.fits(self.machine.key_kb):
+            guards.keys[req] = self.now + h.target + self.fleet.fresh_for
+            yield Keep(h.target + self.fleet.fresh_for)
+        word = yield RUN
+        while word not in ENDS:
+            if word is Word.CALL_OK:
+                word = yield WAIT
+            elif word in (Word.NEEDS, Word.CALL_UNRUN, Word.CALL_LOST):
+                word = yield from self.call(req, word)
+            else:
+                word = yield from self.abandon(req, word)
+        self.move(req, OVER)
+        if word is Word.DONE:
+            self.hold.ran(h, self.now - req.since)
+
+    def call(self, req, word):
+        """At a call: in the line, let out, left out, or given up."""
+        h = req.handler
+        self.move(req, OFF)
+        if req.answered or req.gone:
+            return (yield from self.abandon(req, Word.LATE))
+        late = self.now + self.below.wait() > req.arrived + h.target
+        if h.skip_share > 0 and (late or word is not Word.NEEDS):
+            self.move(req, ON)
+            return (yield SKIP)
+        if word is Word.CALL_LOST and h.kind is not Kind.REPLAYABLE:     # rule 2: it may have had its effect
+            return (yield from self.abandon(req, Word.LATE))
+        if not self.below.room(req, self.now) or self.below.line:
+            self.below.line.append(req)
+            word = yield WAIT
+            self.below.line.remove(req)
+            if word is not Word.GO:
+                return (yield from self.abandon(req, word))
+        began = self.now
+        self.below.began(began)
+        word = yield Call(self.below.try_for(req, began))
+        while word in (Word.LATE, Word.GONE):
+            word = yield from self.abandon(req, word)
+        self.below.ended(self.now, word, self.now - began)
+        if word is Word.CALL_OK:
+            self.move(req, ON)
+        return word
+
+    def abandon(self, req, word):
+        """A run that nobody waits for: answered if it must be, stopped where that is safe and allowed."""
+        if not req.gone and not req.answered:
+            req.answered = True
+            yield FAIL
+        if self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE:
+            yield STOP
+        return (yield WAIT)
+
+    def reuse(self, req):
+        """A repeat is answered from the one it repeats; it is never run beside it and never turned away."""
+        self.move(req, HELD, quiet=True)
+        word = yield REUSE
+        self.move(req, OVER, quiet=True)
+        if word is Word.LATE:
+            yield FAIL
+
+    # Book-keeping.
+
+    def step(self, req, word) -> None:
+        if not self.stage.step(req, word):
+            self.open.pop(req, None)
+
+    def move(self, req, state, quiet=False, shed=0) -> None:
+        """Into another state: memory, the counts, and a step of s."""
+        was, req.state = req.state, state
+        if was == state:
+            return
+        weight = {HELD: 1.0, ON: self.machine.blowup, OFF: self.machine.blowup}
+        self.guards.kb += req.kb * (weight.get(state, 0.0) - weight.get(was, 0.0))
+        self.on += (state == ON) - (was == ON)
+        self.off += (state == OFF) - (was == OFF)
+        s = (state in (HELD, ON)) - (was in (HELD, ON))
+        if s and not quiet:
+            self.learner.count(self.now, s, shed)
+
+    def note_share(self, req) -> None:
+        """Whether the req is beyond its customer's share, by this server's part of the quota."""
+        if req.customer is None:
+            return
+        row = self.quota[req.customer]
+        rate = req.customer.quota / max(1, self.fleet.size) / 1e6
+        row[0] = min(max(1.0, rate * 2_000_000), row[0] + rate * (self.now - row[1]))
+        row[1] = self.now
+        req.over_share = row[0] < 1
+        row[0] -= not req.over_share
--- /dev/null
+++ b/gullyoke/drill/__main__.py
@@ -0,0 +1,11 @@
+"""Run the decisions on the bench's wire: `python -m gullyoke.drill`, batches in, replies out."""
+import sys
+
+from gullyoke.drill.batches import Malformed, play
+
+if __name__ == "__main__":
+    try:
+        play(sys.stdin.buffer, sys.stdout)
+    except Malformed as fault:
+        print(fault, file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/gullyoke/port/__init__.py
@@ -0,0 +1,18 @@
+"""The interface between the decisions (gullyoke/choice.py) and whatever carries reqs to them.
+
+A front (the drill's adapter today, others later) makes one server of decisions per process, fills in the
+types of `facts`, and carries out what comes through its `Door`. A req's path is a generator; `stage` steps it.
+Nothing here decides anything or knows any wire.
+"""
+from gullyoke.port.facts import (
+    PAST, Below, Customer, Fleet, Handler, Kind, Limits, Machine, Permits, Repeat, Req, StopMode,
+)
+from gullyoke.port.stage import (
+    FAIL, FORGET, HOLD, REUSE, RUN, SKIP, STOP, WAIT, Call, Door, Keep, Shed, Stage, Word,
+)
+
+__all__ = [
+    "FAIL", "FORGET", "HOLD", "PAST", "REUSE", "RUN", "SKIP", "STOP", "WAIT", "Below", "Call", "Customer",
+    "Door", "Fleet", "Handler", "Keep", "Kind", "Limits", "Machine", "Permits", "Repeat", "Req", "Shed",
+    "Stage", "StopMode", "Word",
+]
