--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -27,7 +27,7 @@
 
     def __init__(self, now: int, top: int, cores: int, work: float, holding: float, modules=3, width=0.05,
                  prior=4.0) -> None:
-        self.top, self.modules, self.width = top, modules, width
+        self.top, self.cores, self.modules, self.width = top, cores, modules, width
         self.step = max(1, int(work / cores / 12))    # ours: a dozen steps for each req a full server ends
         self.origin, self.steps, self.s, self.busy = now, 0, 0, False
         self.holding = holding * self.step            # cost of a req for a step; a refusal costs 1
@@ -44,10 +44,14 @@
 
     def admits(self) -> bool:
         """The decision on an arrival. S and the policy bind only while the cores are busy."""
-        admit = not self.busy or (self.s < self.top and self.policy[self.s] == 1)
+        admit = not self.binds() or (self.s < self.top and self.policy[self.s] == 1)
         self.bound += not admit
         return admit
 
+    def binds(self) -> bool:
+        """The gauge speaks of the last half second: with fewer reqs than cores a core is free now (ours)."""
+        return self.busy and self.s >= self.cores
+
     def count(self, now: int, move: int = 0, shed: int = 0) -> None:
         """One step with at most one arrival or departure, after the empty ones since the last, in bulk."""
         due = (now - self.origin) // self.step
@@ -59,7 +63,7 @@
 
     def _add(self, n: int, move: int, shed: int) -> None:
         s = min(self.s, self.top)
-        pair = 2 * s + (self.policy[s] if self.busy else 1)
+        pair = 2 * s + (self.policy[s] if self.binds() else 1)
         if shed and not move:                         # an arrival refused; one given up later is a departure
             pair = 2 * s
         first, self.steps = self.steps, self.steps + n
@@ -114,9 +118,10 @@
         base = bias[0]
         self.bias, self.policy = [b - base for b in bias], policy
 
-    def threshold(self) -> int:
-        """The first s at which the policy refuses, for the log."""
-        return self.policy.index(0) if 0 in self.policy else self.top
+    def story(self) -> str:
+        """Where the threshold stands (the first s refused), for the log."""
+        first = self.policy.index(0, self.cores) if 0 in self.policy[self.cores:] else self.top
+        return f"s {self.s} threshold {first} of {self.top} episodes {self.episodes} refused {self.bound}"
 
 
 class RunningCap:
@@ -356,6 +361,8 @@
         if self.learner:
             self.learner.count(now)
             self.learner.busy = use > 0.9                    # the design's gauge
+            if now // TICK % 100 == 0:
+                self.door.log(self.learner.story())
         self.guards.expire(now)
         self.cap.adjust(use, self.hold.size, self.guards.crowd(now))
         self.advice.stamp(self.guards.speed(now))
@@ -380,7 +387,7 @@
             if not self.guards.may_run(req, now) or self.hold.too_late(req, now):
                 self.step(req, Word.OUT)
                 continue
-            if self.on >= int(self.cap.now) or self.on + self.off >= crowd or not self.guards.fits(req.kb * more):
+            if self.on >= int(self.cap.now) or self.on + self.off + 1 > crowd or not self.guards.fits(req.kb * more):
                 break
             self.step(req, Word.GO)
 
@@ -400,7 +407,9 @@
             yield self.advice.shed(True, 0)
             return
         keep = h.window if h.kind is Kind.UNIQUED else 0
-        while not guards.fits(req.kb + (self.machine.key_kb if keep else 0)):    # rule 4: memory
+        spare = min(0.5 * self.machine.memory_kb,            # held reqs leave room to run some
+                    max(0, self.machine.cores - self.on - self.off) * req.kb * (self.machine.blowup - 1))
+        while not guards.fits(req.kb + spare + (self.machine.key_kb if keep else 0)):    # rule 4: memory
             victim = self.hold.worst(self.now, req)
             if victim is req:
                 self.learner.count(self.now, 0, 1)
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,192 @@
+"""Plays the scenarios beside this file against the decisions alone; their notation is in tests/README.md."""
+import pathlib
+import random
+import unittest
+
+from gullyoke.choice import TICK, Server
+from gullyoke.port import (
+    Below, Call, Customer, Fleet, Handler, Keep, Kind, Limits, Machine, Permits, Req, Shed, StopMode, Word,
+)
+
+HERE = pathlib.Path(__file__).parent
+WORDS = {w.name.lower().replace("_", "-"): w for w in Word}
+ENDS = ("done", "errored", "stopped", "moot")
+
+
+class Named(Req):
+    __slots__ = ("name",)
+
+
+def numbers(parts):
+    """key=value pairs, numbers where they are numbers."""
+    out = {}
+    for key, value in (p.split("=", 1) for p in parts):
+        out[key] = float(value) if value.replace(".", "", 1).isdigit() else value
+    return out
+
+
+class Scene:
+    """One server under a scenario: the port's Door, the script's events and the statements about what came of it."""
+
+    def __init__(self):
+        self.given = dict(cores=2, memory=1e6, blowup=4, key=0, cold=0, stop="never", tip=8, share="none", tells=0,
+                          fresh=0, retry=1000, stamp=None, fleet=1, grace=1000, work=0, over=0.1, linger=200)
+        self.handlers, self.customers, self.reqs = {}, {}, {}
+        self.server, self.now, self.due, self.use = None, 0, None, 1.0
+        self.said, self.ever, self.notes, self.most = [], [], {}, 0
+        self.running, self.calling = set(), set()
+
+    # The Door.
+
+    def do(self, req, command):
+        text = f"{command.name} {req.name}"
+        if isinstance(command, Shed):
+            self.notes[req.name] = command
+        if isinstance(command, (Call, Keep)):
+            self.notes[req.name] = command
+        if command.name in ("hold", "wait"):
+            return
+        self.said.append(text)
+        self.ever.append((self.now, text))
+        if command.name == "run":
+            self.running.add(req.name)
+
+    def over(self, req):
+        self.running.discard(req.name)
+
+    def wake(self, after):
+        self.due = self.now + after
+
+    def health(self, good, cheap):
+        self.ever.append((self.now, f"health {'good' if good else 'bad'}"))
+
+    def stamp(self, level):
+        self.ever.append((self.now, f"stamp {level}"))
+
+    def idle(self, span):
+        self.ever.append((self.now, f"idle {span}"))
+
+    def log(self, text):
+        pass
+
+    # The script.
+
+    def open(self):
+        g = self.given
+        machine = Machine(int(g["cores"]), g["memory"], g["blowup"], g["key"], bool(g["cold"]), StopMode(g["stop"]), ())
+        limits = Limits(80_000, int(g["grace"] * 1000), g["tip"], 1_500_000, 0.25, int(g["cold"] * 1000))
+        share = None if g["share"] == "none" else g["share"]
+        permits = Permits(g["retry"] > 0, int(g["retry"] * 1000), g["stamp"], 1_000_000, bool(g["tells"]), True, False,
+                          False, 30_000_000)
+        self.server = Server(self.now, self, random.Random(1), list(self.handlers.values()),
+                             list(self.customers.values()), machine, limits,
+                             Below(True, share, 5_000_000, int(g["linger"] * 1000)), permits,
+                             Fleet(int(g["fleet"]), bool(g["work"]), g["over"], int(g["fresh"] * 1000)))
+
+    def until(self, time):
+        """Let the wake-ups up to then come."""
+        while self.due is not None and self.due <= time:
+            self.now, self.due = self.due, None
+            self.server.gauges(self.now, self.use)
+            self.server.settle(self.now)
+        self.now = time
+
+    def line(self, parts):
+        verb = parts[0]
+        if verb == "server":
+            self.given.update(numbers(parts[1:]))
+        elif verb == "handler":
+            n = dict(target=1000, timeout=4000, value=1, kind="replayable", late=0, window=5000, calls=1, skip=0)
+            n.update(numbers(parts[2:]))
+            self.handlers[parts[1]] = Handler(
+                parts[1], int(n["target"] * 1000), int(n["timeout"] * 1000), n["value"], Kind(n["kind"]), n["late"],
+                int(n["window"] * 1000), bool(n["calls"]), n["skip"], 0)
+        elif verb == "customer":
+            self.customers[parts[1]] = Customer(parts[1], float(parts[2]))
+        elif verb == ">":
+            wanted = [x.strip() for x in " ".join(parts[1:]).split(";") if x.strip()]
+            assert self.said == wanted, f"wanted {wanted}, got {self.said}"
+        elif verb in ("never", "once", "some"):
+            text = " ".join(parts[1:])
+            count = sum(said == text or said.startswith(text + " ") for _, said in self.ever)
+            assert {"never": count == 0, "once": count == 1, "some": count > 0}[verb], f"{count} times '{text}'"
+        elif verb == "answered":
+            early, late = (int(x) * 1000 for x in parts[2].split("-"))
+            times = [t for t, said in self.ever if said in (f"shed {parts[1]}", f"fail {parts[1]}")]
+            assert len(times) == 1 and early <= times[0] <= late, f"{parts[1]} answered at {times}"
+        elif verb == "most":
+            assert self.most == int(parts[1]), f"most running was {self.most}"
+        elif verb == "note":
+            wanted = numbers(parts[2:])
+            for key, value in wanted.items():
+                got = getattr(self.notes[parts[1]], key)
+                assert got == value or got is (value == "yes"), f"{key} of {parts[1]} is {got}"
+        else:
+            raise AssertionError(f"unknown '{verb}'")
+
+    def event(self, time, parts):
+        if self.server is None:
+            self.open()
+        self.until(time)
+        self.said = []
+        verb = parts[0]
+        if verb == "read":
+            self.read(parts[1:])
+        elif verb == "busy":
+            self.use = float(parts[1])
+            self.until((time // TICK + 1) * TICK)
+        elif verb == "leave":
+            self.server.leave(self.now, int(parts[1]) * 1000)
+        elif verb in WORDS:
+            for name in parts[1:]:
+                self.server.tell(self.now, self.reqs[name], WORDS[verb])
+                if verb == "needs" or verb in ENDS:
+                    self.running.discard(name)
+                if verb == "call-ok":
+                    self.running.add(name)
+        elif verb != "wait":
+            raise AssertionError(f"unknown '{verb}'")
+        self.server.settle(self.now)
+        self.most = max(self.most, len(self.running))
+
+    def read(self, parts):
+        """read NAME[xN] HANDLER [age=ms] [kb=n] [due=ms] [prior=NAME] [customer=NAME]"""
+        first, _, times = parts[0].partition("x")
+        handler, n = self.handlers[parts[1]], numbers(parts[2:])
+        for i in range(int(times or 1)):
+            arrived = self.now - int(n.get("age", 0) * 1000)
+            due = int(n["due"] * 1000) if "due" in n else arrived + handler.timeout
+            prior = self.reqs.get(n.get("prior"))
+            req = Named(handler, arrived, due, n.get("kb", 10), prior=prior,
+                        customer=self.customers.get(n.get("customer")))
+            req.name = f"{first}{i + 1}" if times else first
+            self.reqs[req.name] = req
+            self.server.read(self.now, req)
+
+
+def play(path):
+    scene = Scene()
+    for number, raw in enumerate(path.read_text().splitlines(), 1):
+        parts = raw.split("#")[0].split()
+        if not parts:
+            continue
+        try:
+            if parts[0].isdigit():
+                scene.event(int(parts[0]) * 1000, parts[1:])
+            else:
+                scene.line(parts)
+        except AssertionError as fault:
+            raise AssertionError(f"{path.name}:{number}: {raw.strip()}: {fault}") from None
+
+
+class Scenarios(unittest.TestCase):
+    def test_scenarios(self):
+        paths = sorted(HERE.glob("scenarios/*.txt"))
+        self.assertTrue(paths)
+        for path in paths:
+            with self.subTest(path.stem):
+                play(path)
+
+
+if __name__ == "__main__":
+    unittest.main()
