Ask not to retry elsewhere only while over 0.4 of the recent reqs were shed

Cause: a lone slow server sheds a part, a full fleet most; the share shed tells them apart without a word from others.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -303,11 +303,17 @@
 
     def __init__(self, door, permits) -> None:
         self.door, self.permits, self.level = door, permits, 1.0
+        self.shedding = 0.0
         door.health(True, True)                              # checks are answered from store, at little cost
 
     def shed(self, hopeless: bool, excess: float) -> Shed:
+        self.saw(True)
         wait = int(min(self.permits.longest_retry_in, 200_000 + excess)) if self.permits.retry_in else 0
-        return Shed(wait, hopeless)
+        return Shed(wait, hopeless or self.shedding > 0.4)
+
+    def saw(self, shed: bool) -> None:
+        """Count one decision on a req: the share shed of late tells whether sheds feed on themselves."""
+        self.shedding += (shed - self.shedding) / 64
 
     def stamp(self, speed: float) -> None:
         if self.permits.stamp == "weight" and abs(speed - self.level) >= 0.05:
@@ -431,6 +437,7 @@
             guards.keys[req] = self.now + keep
             yield Keep(keep)
         self.hold.add(req)
+        self.advice.saw(False)
         word = yield HOLD
         self.hold.drop(req)
         if word is not Word.GO:
