Stop runs past their target where a late answer earns nothing

Also covers work slowed by a dependency, by crowding or by a cold start; might hurt where a target is missed by little everywhere.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -378,6 +378,8 @@
         for req in list(self.open):                          # rule 1: answered before its time is up, run or not
             if not req.answered and not req.gone and (stopping or req.due <= now + TICK):
                 self.step(req, Word.LATE)
+            elif self.worthless(req):
+                self.step(req, Word.OUT)
         self.door.wake(TICK)
 
     def settle(self, now: int) -> None:
@@ -487,7 +489,7 @@
         began = self.now
         self.below.began(began)
         word = yield Call(self.below.try_for(req, began))
-        while word in (Word.LATE, Word.GONE):
+        while word in (Word.LATE, Word.GONE, Word.OUT):
             word = yield from self.abandon(req, word)
         self.below.ended(self.now, word, self.now - began)
         if word is Word.CALL_OK:
@@ -498,7 +500,7 @@
         """A run that nobody waits for: answered if it must be, stopped where that is safe and allowed."""
         if not req.gone and not req.answered:
             req.answered = True
-            yield FAIL
+            yield self.advice.shed(True, 0) if word is Word.OUT else FAIL
         if self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE:
             yield STOP
         return (yield WAIT)
@@ -513,6 +515,13 @@
 
     # Book-keeping.
 
+    def worthless(self, req) -> bool:
+        """A run past its target that can still be stopped, where a late answer earns nothing."""
+        h = req.handler
+        return (req.state in (ON, OFF) and not h.late_share and h.kind is Kind.REPLAYABLE
+                and self.machine.stop_mode is not StopMode.NEVER and not req.answered
+                and self.now > req.arrived + h.target)
+
     def step(self, req, word) -> None:
         if not self.stage.step(req, word):
             self.open.pop(req, None)
