--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -11,7 +11,21 @@
 from collections import deque
 
 from gullyoke.port import (
-    FAIL, FORGET, HOLD, REUSE, RUN, SKIP, STOP, WAIT, Call, Keep, Kind, Shed, Stage, StopMode, Word,
+    FAIL,
+    FORGET,
+    HOLD,
+    REUSE,
+    RUN,
+    SKIP,
+    STOP,
+    WAIT,
+    Call,
+    Keep,
+    Kind,
+    Shed,
+    Stage,
+    StopMode,
+    Word,
 )
 
 TICK = 100_000                     # between wake-ups (ours); one wake-up is out at a time
@@ -112,7 +126,7 @@
                     best.append(q)
                 policy.append(1 if best[1] >= best[0] else 0)
                 gains.append(best[1] if best[1] >= best[0] else best[0])
-            bias = [b + g - gains[0] for b, g in zip(bias, gains)]
+            bias = [b + g - gains[0] for b, g in zip(bias, gains, strict=False)]
             if max(gains) - min(gains) < self.holding / 8:
                 break
         base = bias[0]
@@ -308,7 +322,7 @@
 
     def shed(self, hopeless: bool, excess: float) -> Shed:
         self.saw(True)
-        wait = int(min(self.permits.longest_retry_in, 200_000 + excess)) if self.permits.retry_in else 0
+        wait = int(min(self.permits.longest_retry_in, 400_000 + excess)) if self.permits.retry_in else 0
         return Shed(wait, hopeless or self.shedding > 0.4)
 
     def saw(self, shed: bool) -> None:
--- a/gullyoke/port/__init__.py
+++ b/gullyoke/port/__init__.py
@@ -5,10 +5,34 @@
 Nothing here decides anything or knows any wire.
 """
 from gullyoke.port.facts import (
-    PAST, Below, Customer, Fleet, Handler, Kind, Limits, Machine, Permits, Repeat, Req, StopMode,
+    PAST,
+    Below,
+    Customer,
+    Fleet,
+    Handler,
+    Kind,
+    Limits,
+    Machine,
+    Permits,
+    Repeat,
+    Req,
+    StopMode,
 )
 from gullyoke.port.stage import (
-    FAIL, FORGET, HOLD, REUSE, RUN, SKIP, STOP, WAIT, Call, Door, Keep, Shed, Stage, Word,
+    FAIL,
+    FORGET,
+    HOLD,
+    REUSE,
+    RUN,
+    SKIP,
+    STOP,
+    WAIT,
+    Call,
+    Door,
+    Keep,
+    Shed,
+    Stage,
+    Word,
 )
 
 __all__ = [
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,7 +5,20 @@
 
 from gullyoke.choice import TICK, Server
 from gullyoke.port import (
-    Below, Call, Customer, Fleet, Handler, Keep, Kind, Limits, Machine, Permits, Req, Shed, StopMode, Word,
+    Below,
+    Call,
+    Customer,
+    Fleet,
+    Handler,
+    Keep,
+    Kind,
+    Limits,
+    Machine,
+    Permits,
+    Req,
+    Shed,
+    StopMode,
+    Word,
 )
 
 HERE = pathlib.Path(__file__).parent
