Count the expected wait for calls before a run

Symptom: half of the reqs errored for ten seconds, all servers alike. Cause: calls below took 20 times their usual, and 4,400 runs waited in the call line until their due time, errored after their work was done. Told from slow cores by the time of calls against the time of runs, and by 'error' where the req stood. Change: a held req is too late when its run, and the wait for a call where it can't be left out, would end past its target; at the call the same, stopped. Covers any slow or full dependency; might hurt where the wait is measured too long after a short stall.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -158,8 +158,8 @@
     Tables: a line for each handler; a line holds only held reqs, and they leave when run or given up.
     """
 
-    def __init__(self, handlers, by_work: bool) -> None:
-        self.by_work = by_work
+    def __init__(self, handlers, by_work: bool, below: CallsBelow) -> None:
+        self.by_work, self.below = by_work, below
         self.cost = {h: h.target / 6 for h in handlers}      # mean time of a run; first guess ours
         self.lines = {h: (deque(), deque()) for h in handlers}
         self.turn = {h: 0.0 for h in handlers}
@@ -218,7 +218,8 @@
 
     def too_late(self, req, now: int) -> bool:
         h = req.handler
-        return now + self.cost[h] / 2 > req.arrived + h.target
+        below = self.below.wait() if h.calls and not h.skip_share else 0
+        return now + self.cost[h] / 2 + below > req.arrived + h.target
 
 
 class CallsBelow:
@@ -342,8 +343,8 @@
         self.now, self.door, self.stage, self.chance = now, door, Stage(door), chance.random
         self.machine, self.fleet, self.permits, self.limits = machine, fleet, permits, limits
         self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
-        self.hold, self.cap = Hold(handlers, fleet.by_work), RunningCap(machine.cores)
         self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger)
+        self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
         self.open: dict = {}                                 # reqs in hand; each leaves at its end
         self.on = self.off = 0
         self.quota = {c: [0.0, now] for c in customers}      # one row a customer
@@ -492,6 +493,8 @@
         if h.skip_share > 0 and (late or word is not Word.NEEDS):
             self.move(req, ON)
             return (yield SKIP)
+        if late and not h.late_share and h.kind is Kind.REPLAYABLE:
+            return (yield from self.abandon(req, Word.OUT))
         if word is Word.CALL_LOST and h.kind is not Kind.REPLAYABLE:     # rule 2: it may have had its effect
             return (yield from self.abandon(req, Word.LATE))
         if not self.below.room(req, self.now) or self.below.line:
