Grow the running cap only while a core is free now

Symptom: from the first seconds some servers answer nothing, runs take 3 s, reads wait 2 s, and it stays so. Cause: the cap grew by the half-second gauge while the cores were long taken; 20 to 26 reqs on 6 cores, which get much less done there. Told from a slow dependency by quick calls (36 ms) beside slow runs, and from slow machines by the gauge of what wants a core. Change: grow by what wants a core now. Might hurt where runs wait for disk unseen; there the cores are free now, and it grows.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -144,8 +144,11 @@
     def __init__(self, cores: int) -> None:
         self.cores, self.now = cores, float(cores)
 
-    def adjust(self, use: float, waiting: int, ceiling: float) -> None:
-        if use < 0.95 and waiting:
+    def adjust(self, gauges, waiting: int, ceiling: float) -> None:
+        # The share of cores busy is half a second old; what wants a core now says whether one is free. Guards
+        # against a cap that runs ahead of its gauge, and so against crowding that never clears.
+        free = gauges.wanting < self.cores if gauges.wanting is not None else gauges.busy < 0.95
+        if free and waiting:
             self.now += 1 + self.now / 4
         else:
             self.now -= (self.now - self.cores) / 4
@@ -351,7 +354,7 @@
         target = sum(h.target for h in handlers) / len(handlers)
         self.crowd = machine.cores * limits.tip_multiple
         self.target, self.handlers = target, handlers
-        self.learner, self.use = None, 0.0
+        self.learner = None
         door.wake(TICK)
 
     # What the front calls.
@@ -377,15 +380,15 @@
         self.now, self.guards.notice, self.guards.stop_at = now, now, stop_at
         self.door.health(False, True)
 
-    def gauges(self, now: int, use: float) -> None:
-        self.now, self.use = now, use
+    def gauges(self, now: int, gauges) -> None:
+        self.now = now
         if self.learner:
             self.learner.count(now)
-            self.learner.busy = use > 0.9                    # the design's gauge
+            self.learner.busy = gauges.busy > 0.9                    # the design's gauge
             if now // TICK % 100 == 0:
                 self.door.log(self.learner.story())
         self.guards.expire(now)
-        self.cap.adjust(use, self.hold.size, self.guards.crowd(now))
+        self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now))
         self.advice.stamp(self.guards.speed(now))
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -8,7 +8,7 @@
 
 from gullyoke.choice import Server
 from gullyoke.drill.options import Facts, facts_of
-from gullyoke.port import PAST, Call, Keep, Req, Shed, Word
+from gullyoke.port import PAST, Call, Gauges, Keep, Req, Shed, Word
 
 RUN_ENDS = {"200": Word.DONE, "500": Word.ERRORED, "499": Word.STOPPED, "410": Word.MOOT}
 CALL_ENDS = {
@@ -102,8 +102,8 @@
 
     def fired(self, now: int, get: dict[str, str]) -> None:
         int(get["Token"])
-        gauges = dict(pair.split(":", 1) for pair in get["Telemetry"].split(","))
-        self.server.gauges(now, float(gauges["core_use"]))
+        got = {name: float(value) for name, value in (pair.split(":", 1) for pair in get["Telemetry"].split(","))}
+        self.server.gauges(now, Gauges(got["core_use"], got.get("on_cores"), got.get("heap_share")))
 
     def quiesce(self, now: int, get: dict[str, str]) -> None:
         self.server.leave(now, int(get["NotAfterUs"]))
--- a/gullyoke/port/__init__.py
+++ b/gullyoke/port/__init__.py
@@ -9,6 +9,7 @@
     Below,
     Customer,
     Fleet,
+    Gauges,
     Handler,
     Kind,
     Limits,
@@ -37,6 +38,6 @@
 
 __all__ = [
     "FAIL", "FORGET", "HOLD", "PAST", "REUSE", "RUN", "SKIP", "STOP", "WAIT", "Below", "Call", "Customer",
-    "Door", "Fleet", "Handler", "Keep", "Kind", "Limits", "Machine", "Permits", "Repeat", "Req", "Shed",
+    "Door", "Fleet", "Gauges", "Handler", "Keep", "Kind", "Limits", "Machine", "Permits", "Repeat", "Req", "Shed",
     "Stage", "StopMode", "Word",
 ]
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 
 class Kind(Enum):
@@ -97,6 +98,13 @@
     fresh_for: int
 
 
+class Gauges(NamedTuple):
+    """A server's own gauges: share of cores busy lately, what wants a core now, share of memory in use."""
+    busy: float
+    wanting: float | None = None
+    memory: float | None = None
+
+
 class Repeat:
     """Stands for a kept req that this server no longer has in hand."""
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -9,6 +9,7 @@
     Call,
     Customer,
     Fleet,
+    Gauges,
     Handler,
     Keep,
     Kind,
@@ -100,7 +101,7 @@
         """Let the wake-ups up to then come."""
         while self.due is not None and self.due <= time:
             self.now, self.due = self.due, None
-            self.server.gauges(self.now, self.use)
+            self.server.gauges(self.now, Gauges(self.use, len(self.running)))
             self.server.settle(self.now)
         self.now = time
 
