--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -327,7 +327,7 @@
     def shed(self, hopeless: bool, excess: float) -> Shed:
         self.saw(True)
         wait = int(min(self.permits.longest_retry_in, 400_000 + excess)) if self.permits.retry_in else 0
-        return Shed(wait, hopeless or self.shedding > 0.4)
+        return Shed(wait, hopeless or self.shedding > 0.25)
 
     def saw(self, shed: bool) -> None:
         """Count one decision on a req: the share shed of late tells whether sheds feed on themselves."""
@@ -364,7 +364,7 @@
         if self.learner is None:                             # S: what memory holds running, above the crowd
             top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
                                                  2.5 * self.crowd)))
-            self.learner = Learner(now, top, self.machine.cores, self.target / 6, 0.5 / self.target)
+            self.learner = Learner(now, top, self.machine.cores, self.target / 6, 1 / self.target)
         req.life = self.life(req)
         self.open[req] = None
         self.step(req, None)
