--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -350,7 +350,7 @@
         self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
         self.open: dict = {}                                 # reqs in hand; each leaves at its end
         self.on = self.off = 0
-        self.quota = {c: [0.0, now] for c in customers}      # one row a customer
+        self.quota = {c: [1e9, now] for c in customers}      # one row a customer; full at first
         target = sum(h.target for h in handlers) / len(handlers)
         self.crowd = machine.cores * limits.tip_multiple
         self.target, self.handlers = target, handlers
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,9 +1,12 @@
 """Plays the scenarios beside this file against the decisions alone; their notation is in tests/README.md."""
+import io
 import pathlib
 import random
 import unittest
 
 from gullyoke.choice import TICK, Server
+from gullyoke.drill import batches
+from gullyoke.drill.batches import Malformed
 from gullyoke.port import (
     Below,
     Call,
@@ -40,11 +43,12 @@
 
 
 class Scene:
-    """One server under a scenario: the port's Door, the script's events and the statements about what came of it."""
+    """One server under a scenario: the port's Door, the script's events, the statements on what came of it."""
 
     def __init__(self):
-        self.given = dict(cores=2, memory=1e6, blowup=4, key=0, cold=0, stop="never", tip=8, share="none", tells=0,
-                          fresh=0, retry=1000, stamp=None, fleet=1, grace=1000, work=0, over=0.1, linger=200)
+        self.given = dict(cores=2, memory=1e6, blowup=4, key=0, cold=0, stop="never", tip=8, share="none",
+                          tells=0, fresh=0, retry=1000, stamp=None, fleet=1, grace=1000, work=0, over=0.1,
+                          linger=200)
         self.handlers, self.customers, self.reqs = {}, {}, {}
         self.server, self.now, self.due, self.use = None, 0, None, 1.0
         self.said, self.ever, self.notes, self.most = [], [], {}, 0
@@ -54,9 +58,7 @@
 
     def do(self, req, command):
         text = f"{command.name} {req.name}"
-        if isinstance(command, Shed):
-            self.notes[req.name] = command
-        if isinstance(command, (Call, Keep)):
+        if isinstance(command, Call | Keep | Shed):
             self.notes[req.name] = command
         if command.name in ("hold", "wait"):
             return
@@ -87,11 +89,12 @@
 
     def open(self):
         g = self.given
-        machine = Machine(int(g["cores"]), g["memory"], g["blowup"], g["key"], bool(g["cold"]), StopMode(g["stop"]), ())
+        machine = Machine(int(g["cores"]), g["memory"], g["blowup"], g["key"], bool(g["cold"]),
+                          StopMode(g["stop"]), ())
         limits = Limits(80_000, int(g["grace"] * 1000), g["tip"], 1_500_000, 0.25, int(g["cold"] * 1000))
         share = None if g["share"] == "none" else g["share"]
-        permits = Permits(g["retry"] > 0, int(g["retry"] * 1000), g["stamp"], 1_000_000, bool(g["tells"]), True, False,
-                          False, 30_000_000)
+        permits = Permits(g["retry"] > 0, int(g["retry"] * 1000), g["stamp"], 1_000_000, bool(g["tells"]), True,
+                          False, False, 30_000_000)
         self.server = Server(self.now, self, random.Random(1), list(self.handlers.values()),
                              list(self.customers.values()), machine, limits,
                              Below(True, share, 5_000_000, int(g["linger"] * 1000)), permits,
@@ -110,11 +113,12 @@
         if verb == "server":
             self.given.update(numbers(parts[1:]))
         elif verb == "handler":
-            n = dict(target=1000, timeout=4000, value=1, kind="replayable", late=0, window=5000, calls=1, skip=0)
+            n = dict(target=1000, timeout=4000, value=1, kind="replayable", late=0, window=5000, calls=1,
+                     skip=0)
             n.update(numbers(parts[2:]))
             self.handlers[parts[1]] = Handler(
-                parts[1], int(n["target"] * 1000), int(n["timeout"] * 1000), n["value"], Kind(n["kind"]), n["late"],
-                int(n["window"] * 1000), bool(n["calls"]), n["skip"], 0)
+                parts[1], int(n["target"] * 1000), int(n["timeout"] * 1000), n["value"], Kind(n["kind"]),
+                n["late"], int(n["window"] * 1000), bool(n["calls"]), n["skip"], 0)
         elif verb == "customer":
             self.customers[parts[1]] = Customer(parts[1], float(parts[2]))
         elif verb == ">":
@@ -123,7 +127,8 @@
         elif verb in ("never", "once", "some"):
             text = " ".join(parts[1:])
             count = sum(said == text or said.startswith(text + " ") for _, said in self.ever)
-            assert {"never": count == 0, "once": count == 1, "some": count > 0}[verb], f"{count} times '{text}'"
+            right = {"never": count == 0, "once": count == 1, "some": count > 0}[verb]
+            assert right, f"{count} times '{text}'"
         elif verb == "answered":
             early, late = (int(x) * 1000 for x in parts[2].split("-"))
             times = [t for t, said in self.ever if said in (f"shed {parts[1]}", f"fail {parts[1]}")]
@@ -194,6 +199,25 @@
 
 
 class Scenarios(unittest.TestCase):
+    def test_wire(self):
+        """What is not the wire is told in one line that names the line; the input's end is no fault."""
+        frame = "frame TimeUs=5 seq=1\n"
+        self.assertEqual(self.wire(frame + "eob\nframe TimeUs=9 seq=2\neob\n"), "eor seq=1\neor seq=2\n")
+        for text, said in (
+            ("eob\n", "line 1: 'eob' outside"), (frame + "on Who=server_1\nshout a=1\n", "line 3: unknown message"),
+            (frame + "on\n", "line 2: missing"), (frame + "on Who=server_1\nneeds Tid=1\n", "line 3: 'needs' for"),
+            (frame + "eob\nframe TimeUs=4 seq=2\n", "line 3: batch 2"), (frame, "the input ended inside"),
+            (frame + "on x\n", "line 2: 'x' is not"), ("frame TimeUs=x seq=1\n", "line 1: invalid literal"),
+        ):
+            with self.subTest(text), self.assertRaisesRegex(Malformed, said):
+                self.wire(text)
+
+    @staticmethod
+    def wire(text):
+        out = io.StringIO()
+        batches.play(io.BytesIO(text.encode()), out)
+        return out.getvalue()
+
     def test_scenarios(self):
         paths = sorted(HERE.glob("scenarios/*.txt"))
         self.assertTrue(paths)
