--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -144,14 +144,21 @@
     def __init__(self, cores: int) -> None:
         self.cores, self.now = cores, float(cores)
 
-    def adjust(self, gauges, waiting: int, ceiling: float) -> None:
+    def adjust(self, gauges, waiting: int, ceiling: float, stale: bool) -> None:
+        # Reading shares the cores with runs. While what is read is old already, fewer run, so that the queue
+        # stands in the hold, where it can be shed early, and not unread, where nothing is known of it.
+        if stale:
+            self.now -= (self.now - self.cores / 2) / 8
+            return
         # The share of cores busy is half a second old; what wants a core now says whether one is free. Guards
         # against a cap that runs ahead of its gauge, and so against crowding that never clears.
         free = gauges.wanting < self.cores if gauges.wanting is not None else gauges.busy < 0.95
         if free and waiting:
             self.now += 1 + self.now / 4
-        else:
+        elif self.now > self.cores:
             self.now -= (self.now - self.cores) / 4
+        else:
+            self.now = min(self.cores, self.now + self.cores / 32)
         self.now = max(1.0, min(self.now, ceiling))
 
 
@@ -354,7 +361,7 @@
         target = sum(h.target for h in handlers) / len(handlers)
         self.crowd = machine.cores * limits.tip_multiple
         self.target, self.handlers = target, handlers
-        self.learner = None
+        self.learner, self.unread = None, 0.0
         door.wake(TICK)
 
     # What the front calls.
@@ -365,6 +372,7 @@
             top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
                                                  2.5 * self.crowd)))
             self.learner = Learner(now, top, self.machine.cores, self.target / 6, 1 / self.target)
+        self.unread += (now - req.arrived - self.unread) / 8
         req.life = self.life(req)
         self.open[req] = None
         self.step(req, None)
@@ -388,7 +396,8 @@
             if now // TICK % 100 == 0:
                 self.door.log(self.learner.story())
         self.guards.expire(now)
-        self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now))
+        self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now), self.unread > self.target / 10)
+        self.unread *= 0.9
         self.advice.stamp(self.guards.speed(now))
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
