--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -144,21 +144,14 @@
     def __init__(self, cores: int) -> None:
         self.cores, self.now = cores, float(cores)
 
-    def adjust(self, gauges, waiting: int, ceiling: float, stale: bool) -> None:
-        # Reading shares the cores with runs. While what is read is old already, fewer run, so that the queue
-        # stands in the hold, where it can be shed early, and not unread, where nothing is known of it.
-        if stale:
-            self.now -= (self.now - self.cores / 2) / 8
-            return
+    def adjust(self, gauges, waiting: int, ceiling: float) -> None:
         # The share of cores busy is half a second old; what wants a core now says whether one is free. Guards
         # against a cap that runs ahead of its gauge, and so against crowding that never clears.
         free = gauges.wanting < self.cores if gauges.wanting is not None else gauges.busy < 0.95
         if free and waiting:
             self.now += 1 + self.now / 4
-        elif self.now > self.cores:
-            self.now -= (self.now - self.cores) / 4
         else:
-            self.now = min(self.cores, self.now + self.cores / 32)
+            self.now -= (self.now - self.cores) / 4
         self.now = max(1.0, min(self.now, ceiling))
 
 
@@ -328,12 +321,12 @@
 
     def __init__(self, door, permits) -> None:
         self.door, self.permits, self.level = door, permits, 1.0
-        self.shedding = 0.0
+        self.shedding = self.unread = 0.0
         door.health(True, True)                              # checks are answered from store, at little cost
 
     def shed(self, hopeless: bool, excess: float) -> Shed:
         self.saw(True)
-        wait = int(min(self.permits.longest_retry_in, 400_000 + excess)) if self.permits.retry_in else 0
+        wait = int(min(self.permits.longest_retry_in, 400_000 + 4 * self.unread + excess)) if self.permits.retry_in else 0
         return Shed(wait, hopeless or self.shedding > 0.25)
 
     def saw(self, shed: bool) -> None:
@@ -361,7 +354,7 @@
         target = sum(h.target for h in handlers) / len(handlers)
         self.crowd = machine.cores * limits.tip_multiple
         self.target, self.handlers = target, handlers
-        self.learner, self.unread = None, 0.0
+        self.learner = None
         door.wake(TICK)
 
     # What the front calls.
@@ -372,7 +365,7 @@
             top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
                                                  2.5 * self.crowd)))
             self.learner = Learner(now, top, self.machine.cores, self.target / 6, 1 / self.target)
-        self.unread += (now - req.arrived - self.unread) / 8
+        self.advice.unread += (now - req.arrived - self.advice.unread) / 8
         req.life = self.life(req)
         self.open[req] = None
         self.step(req, None)
@@ -396,8 +389,7 @@
             if now // TICK % 100 == 0:
                 self.door.log(self.learner.story())
         self.guards.expire(now)
-        self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now), self.unread > self.target / 10)
-        self.unread *= 0.9
+        self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now))
         self.advice.stamp(self.guards.speed(now))
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
