--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -324,9 +324,11 @@
         self.shedding = 0.0
         door.health(True, True)                              # checks are answered from store, at little cost
 
-    def shed(self, hopeless: bool, excess: float) -> Shed:
+    def shed(self, hopeless: bool, leaving: bool = False) -> Shed:
         self.saw(True)
-        wait = int(min(self.permits.longest_retry_in, 150_000)) if self.permits.retry_in else 0
+        # Short: callers that all stay away for long move in herds, and overrun one server after another.
+        longest = self.permits.longest_retry_in if self.permits.retry_in else 0
+        wait = longest if leaving else min(longest, 150_000)
         return Shed(wait, hopeless or self.shedding > 0.25)
 
     def saw(self, shed: bool) -> None:
@@ -424,13 +426,13 @@
         h, guards = req.handler, self.guards
         self.note_share(req)
         if not guards.may_run(req, self.now):                # a repeat may have run: no promise then
-            yield FAIL if req.prior else self.advice.shed(False, self.permits.longest_retry_in)
+            yield FAIL if req.prior else self.advice.shed(False, leaving=True)
             return
         if req.prior is not None and (h.kind is Kind.UNIQUED or h.kind is Kind.REPLAYABLE and self.fleet.fresh_for):
             yield from self.reuse(req)
             return
         if req.due <= self.now + TICK:                       # rule 1: read too late for the next wake-up
-            yield self.advice.shed(True, 0)
+            yield self.advice.shed(True)
             return
         keep = h.window if h.kind is Kind.UNIQUED else 0
         spare = min(0.5 * self.machine.memory_kb,            # held reqs leave room to run some
@@ -439,14 +441,14 @@
             victim = self.hold.worst(self.now, req)
             if victim is req:
                 self.learner.count(self.now, 0, 1)
-                yield self.advice.shed(False, self.target / 4)
+                yield self.advice.shed(False)
                 return
             self.step(victim, Word.OUT)
         if not self.learner.admits():
             self.learner.count(self.now, 0, 1)
             victim = self.hold.worst(self.now, req)
             if victim is req:
-                yield self.advice.shed(False, self.target / 8)
+                yield self.advice.shed(False)
                 return
             self.move(req, HELD, quiet=True)
             victim.doomed = True                             # swapped for the newcomer: s stays
@@ -466,7 +468,7 @@
                 guards.keys.pop(req, None)
                 yield FORGET
             if word is not Word.GONE:
-                yield self.advice.shed(word is Word.LATE or self.hold.too_late(req, self.now), 0)
+                yield self.advice.shed(word is Word.LATE or self.hold.too_late(req, self.now))
             return
         self.hold.took_turn(req)
         self.move(req, ON)
@@ -520,7 +522,7 @@
         """A run that nobody waits for: answered if it must be, stopped where that is safe and allowed."""
         if not req.gone and not req.answered:
             req.answered = True
-            yield self.advice.shed(True, 0) if word is Word.OUT else FAIL
+            yield self.advice.shed(True) if word is Word.OUT else FAIL
         if self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE:
             yield STOP
         return (yield WAIT)
