--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -219,6 +219,10 @@
         """The held reqs whose run could no longer earn their value."""
         return [r for pair in self.lines.values() for line in pair for r in line if self.too_late(r, now)]
 
+    def work(self) -> float:
+        """The time that all that is held takes on one core."""
+        return sum(self.cost[h] * (len(pair[0]) + len(pair[1])) for h, pair in self.lines.items())
+
     def too_late(self, req, now: int) -> bool:
         h = req.handler
         below = self.below.wait() if h.calls and not h.skip_share else 0
@@ -324,11 +328,11 @@
         self.shedding = 0.0
         door.health(True, True)                              # checks are answered from store, at little cost
 
-    def shed(self, hopeless: bool, leaving: bool = False) -> Shed:
+    def shed(self, hopeless: bool, leaving: bool = False, ahead: float = 0.0) -> Shed:
         self.saw(True)
         # Short: callers that all stay away for long move in herds, and overrun one server after another.
         longest = self.permits.longest_retry_in if self.permits.retry_in else 0
-        wait = longest if leaving else min(longest, 150_000)
+        wait = longest if leaving else min(longest, 50_000 + int(ahead))
         return Shed(wait, hopeless or self.shedding > 0.25)
 
     def saw(self, shed: bool) -> None:
@@ -448,7 +452,7 @@
             self.learner.count(self.now, 0, 1)
             victim = self.hold.worst(self.now, req)
             if victim is req:
-                yield self.advice.shed(False)
+                yield self.advice.shed(False, ahead=self.hold.work() / self.machine.cores)
                 return
             self.move(req, HELD, quiet=True)
             victim.doomed = True                             # swapped for the newcomer: s stays
@@ -468,7 +472,8 @@
                 guards.keys.pop(req, None)
                 yield FORGET
             if word is not Word.GONE:
-                yield self.advice.shed(word is Word.LATE or self.hold.too_late(req, self.now))
+                yield self.advice.shed(word is Word.LATE or self.hold.too_late(req, self.now),
+                                       ahead=self.hold.work() / self.machine.cores)
             return
         self.hold.took_turn(req)
         self.move(req, ON)
