--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -1,9 +1,8 @@
-"""All of gullyoke's decisions. The interface is gullyoke/port: its types, the commands a req yields, the stepping.
+"""All of gullyoke's decisions. The interface is gullyoke/port: types, commands a req yields, their stepping.
 
-A front makes one `Server` a process and calls it with the clock in whole microseconds: `read` for each req read,
-`tell` for each word on a req in hand, `gauges` when its wake-up comes, `leave` at the notice to leave, `settle`
-after each batch. What is decided goes out through the port's `Door`. `Server.life` is a req's ordinary path, top
-to bottom; the parts above it decide one thing each. Values marked "ours" are starting values, not from the paper.
+A front makes one `Server` a process and calls it with the clock in whole microseconds: `read` for each req
+read, `tell` for each word on a req in hand, `gauges` when its wake-up comes, `leave` at the notice to leave,
+`settle` after each batch. Decisions go out through the port's `Door`. `Server.life` is a req's ordinary path, top to bottom; the parts above it decide one thing each. Values marked "ours" are not from the paper.
 """
 from __future__ import annotations
 
@@ -49,7 +48,7 @@
         ends = [rate * min(i // 2, cores) / cores for i in range(pairs)]
         comes = [rate if i % 2 and i // 2 < top else 0.0 for i in range(pairs)]
         shed = [0.0 if i % 2 else rate for i in range(pairs)]
-        self.visits = [[prior] * pairs for _ in range(modules)]     # ours: a full server at load 1, lightly held
+        self.visits = [[prior] * pairs for _ in range(modules)]     # ours: a full server at load 1
         self.ups, self.downs, self.sheds = (
             [[prior * x for x in row] for _ in range(modules)] for row in (comes, ends, shed))
         self.before = [row[:] for row in self.visits]
@@ -96,8 +95,8 @@
     def solve(self) -> None:
         """A new episode: the policy that is best in the most optimistic model within the widths.
 
-        Widths have UCRL2's form (Jaksch et al. 2010) with the constants of the birth-and-death case (Anselmi et
-        al. 2022), scaled by `width` (ours). Tridiagonal; starts from the last bias; stops by span.
+        Widths have UCRL2's form (Jaksch et al. 2010) with the constants of the birth-and-death case (Anselmi
+        et al. 2022), scaled by `width` (ours). Tridiagonal; starts from the last bias; stops by span.
         """
         self.fresh, self.ramp, self.episodes = False, self.modules, self.episodes + 1
         self.before = [row[:] for row in self.visits]
@@ -106,8 +105,9 @@
             s = pair // 2
             m = max(range(self.modules), key=lambda m: self.visits[m][pair])
             n = max(1.0, self.visits[m][pair])
-            gain = min(0.0, self.width * worst * math.sqrt(2 * log / n) - self.holding * s - self.sheds[m][pair] / n)
-            slack, up, down = self.width * math.sqrt(8 * log / n) / 2, self.ups[m][pair] / n, self.downs[m][pair] / n
+            cost, slack = self.holding * s + self.sheds[m][pair] / n, self.width * math.sqrt(8 * log / n) / 2
+            gain = min(0.0, self.width * worst * math.sqrt(2 * log / n) - cost)
+            up, down = self.ups[m][pair] / n, self.downs[m][pair] / n
             far_down = min(1.0, down + slack) if s else 0.0
             far_up = min(1.0, up + slack) if s < self.top else 0.0
             rows.append((gain, far_down, min(max(0.0, up - slack), 1 - far_down),
@@ -267,7 +267,7 @@
         self._account(now)
         self.out -= 1
         if word is not Word.CALL_OK:
-            self.hush = now + TICK                           # a failed call is not followed at once by the next
+            self.hush = now + TICK                # a failed call is not followed at once by another
             if word is not Word.CALL_UNRUN:
                 self.ghosts.append(now + self.linger)
             return
@@ -293,7 +293,7 @@
     def __init__(self, now: int, machine, limits) -> None:
         self.machine, self.limits, self.started = machine, limits, now
         self.kb, self.notice, self.stop_at = 0.0, None, None
-        self.keys: dict = {}                                 # kept reqs to when their notes end; `expire` empties
+        self.keys: dict = {}                       # kept reqs to the end of their notes; see `expire`
 
     def speed(self, now: int) -> float:
         """The share of its speed that the server has at the least."""
@@ -303,7 +303,7 @@
         return min(1.0, low + (1 - low) * (now - self.started) / max(1, self.limits.cold))
 
     def crowd(self, now: int) -> float:
-        """How many may be on the cores at once, with a margin (ours): those at a call come back by themselves."""
+        """What may be on the cores, with a margin (ours); those at a call come back by themselves."""
         return 0.8 * self.machine.cores * (1 + (self.limits.tip_multiple - 1) * self.speed(now))
 
     def expire(self, now: int) -> None:
@@ -332,7 +332,7 @@
         self.saw(True)
         # Short: callers that all stay away for long move in herds, and overrun one server after another.
         longest = self.permits.longest_retry_in if self.permits.retry_in else 0
-        wait = longest if leaving else min(longest, 50_000 + int(ahead))
+        wait = longest if leaving else min(longest, 25_000 + int(ahead) // 3)
         return Shed(wait, hopeless or self.shedding > 0.25)
 
     def saw(self, shed: bool) -> None:
@@ -348,7 +348,8 @@
 class Server:
     """One server's decisions."""
 
-    def __init__(self, now, door, chance, handlers, customers, machine, limits, below, permits, fleet) -> None:
+    def __init__(self, now, door, chance, handlers, customers, machine, limits, below, permits,
+                 fleet) -> None:
         self.now, self.door, self.stage, self.chance = now, door, Stage(door), chance.random
         self.machine, self.fleet, self.permits, self.limits = machine, fleet, permits, limits
         self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
@@ -399,7 +400,7 @@
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
         stopping = self.guards.stop_at is not None and now >= self.guards.stop_at - 2 * TICK
-        for req in list(self.open):                          # rule 1: answered before its time is up, run or not
+        for req in list(self.open):                          # rule 1: answered before its time is up
             if not req.answered and not req.gone and (stopping or req.due <= now + TICK):
                 self.step(req, Word.LATE)
             elif self.worthless(req):
@@ -419,7 +420,9 @@
             if not self.guards.may_run(req, now) or self.hold.too_late(req, now):
                 self.step(req, Word.OUT)
                 continue
-            if self.on >= int(self.cap.now) or self.on + self.off + 1 > crowd or not self.guards.fits(req.kb * more):
+            if self.on >= int(self.cap.now) or self.on + self.off + 1 > crowd:
+                break
+            if not self.guards.fits(req.kb * more):
                 break
             self.step(req, Word.GO)
 
@@ -432,7 +435,8 @@
         if not guards.may_run(req, self.now):                # a repeat may have run: no promise then
             yield FAIL if req.prior else self.advice.shed(False, leaving=True)
             return
-        if req.prior is not None and (h.kind is Kind.UNIQUED or h.kind is Kind.REPLAYABLE and self.fleet.fresh_for):
+        fresh = self.fleet.fresh_for if h.kind is Kind.REPLAYABLE else 0
+        if req.prior is not None and (h.kind is Kind.UNIQUED or fresh):
             yield from self.reuse(req)
             return
         if req.due <= self.now + TICK:                       # rule 1: read too late for the next wake-up
@@ -478,9 +482,9 @@
         self.hold.took_turn(req)
         self.move(req, ON)
         req.since = self.now
-        if self.fleet.fresh_for and req.keyed and h.kind is Kind.REPLAYABLE and guards.fits(self.machine.key_kb):
-            guards.keys[req] = self.now + h.target + self.fleet.fresh_for
-            yield Keep(h.target + self.fleet.fresh_for)
+        if fresh and req.keyed and guards.fits(self.machine.key_kb):
+            guards.keys[req] = self.now + h.target + fresh
+            yield Keep(h.target + fresh)
         word = yield RUN
         while word not in ENDS:
             if word is Word.CALL_OK:
--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -16,7 +16,8 @@
     "502": Word.CALL_UNRUN, "598": Word.CALL_LOST, "499": Word.CALL_LOST, "410": Word.CALL_UNRUN,
 }
 ACTIONS = {
-    "run": "start", "skip": "bypass", "reuse": "answer_from", "stop": "suspend", "forget": "forget", "fail": "error",
+    "run": "start", "skip": "bypass", "reuse": "answer_from", "stop": "suspend", "forget": "forget",
+    "fail": "error",
 }
 
 
@@ -102,7 +103,8 @@
 
     def fired(self, now: int, get: dict[str, str]) -> None:
         int(get["Token"])
-        got = {name: float(value) for name, value in (pair.split(":", 1) for pair in get["Telemetry"].split(","))}
+        pairs = (pair.split(":", 1) for pair in get["Telemetry"].split(","))
+        got = {name: float(value) for name, value in pairs}
         self.server.gauges(now, Gauges(got["core_use"], got.get("on_cores"), got.get("heap_share")))
 
     def quiesce(self, now: int, get: dict[str, str]) -> None:
--- a/gullyoke/drill/options.py
+++ b/gullyoke/drill/options.py
@@ -44,9 +44,8 @@
             KINDS[own["Semantics"]], float(own.get("LateWorth", 0)), int(own.get("KeyTtlUs", 0)),
             calls[i] if i < len(calls) else False, skips[i] if i < len(skips) else 0.0,
             float(own.get("AimStretch", 0))))
-    customers = [
-        Customer(get[f"Orgs.{i}.Name"], float(get[f"Orgs.{i}.QuotaPerS"])) for i in range(int(get.get("Orgs.count", 0)))
-    ]
+    customers = [Customer(get[f"Orgs.{i}.Name"], float(get[f"Orgs.{i}.QuotaPerS"]))
+                 for i in range(int(get.get("Orgs.count", 0)))]
     machine = Machine(
         int(info["Cores"]), float(info["MemoryKb"]), float(info["Blowup"]), float(info.get("KeyKb", 0)),
         truth(info.get("FreshStart", "false")), STOPS[info.get("StopMode", "off")],
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -1,4 +1,4 @@
-"""What a server is told: the stated facts, in small records by subject, and the reqs. Times are whole microseconds."""
+"""What a server is told: stated facts in small records by subject, and reqs. Times are whole microseconds."""
 from __future__ import annotations
 
 from collections.abc import Generator
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -43,12 +43,12 @@
 
 
 class Scene:
-    """One server under a scenario: the port's Door, the script's events, the statements on what came of it."""
+    """One server under a scenario: the port's Door, the script's events, statements on what came of it."""
 
     def __init__(self):
-        self.given = dict(cores=2, memory=1e6, blowup=4, key=0, cold=0, stop="never", tip=8, share="none",
-                          tells=0, fresh=0, retry=1000, stamp=None, fleet=1, grace=1000, work=0, over=0.1,
-                          linger=200)
+        self.given = dict(cores=2, memory=1e6, blowup=4, key=0, cold=0, stop="never", tip=8,
+                          share="none", tells=0, fresh=0, retry=1000, stamp=None, fleet=1, grace=1000,
+                          work=0, over=0.1, linger=200)
         self.handlers, self.customers, self.reqs = {}, {}, {}
         self.server, self.now, self.due, self.use = None, 0, None, 1.0
         self.said, self.ever, self.notes, self.most = [], [], {}, 0
@@ -93,8 +93,8 @@
                           StopMode(g["stop"]), ())
         limits = Limits(80_000, int(g["grace"] * 1000), g["tip"], 1_500_000, 0.25, int(g["cold"] * 1000))
         share = None if g["share"] == "none" else g["share"]
-        permits = Permits(g["retry"] > 0, int(g["retry"] * 1000), g["stamp"], 1_000_000, bool(g["tells"]), True,
-                          False, False, 30_000_000)
+        permits = Permits(g["retry"] > 0, int(g["retry"] * 1000), g["stamp"], 1_000_000, bool(g["tells"]),
+                          True, False, False, 30_000_000)
         self.server = Server(self.now, self, random.Random(1), list(self.handlers.values()),
                              list(self.customers.values()), machine, limits,
                              Below(True, share, 5_000_000, int(g["linger"] * 1000)), permits,
@@ -204,8 +204,9 @@
         frame = "frame TimeUs=5 seq=1\n"
         self.assertEqual(self.wire(frame + "eob\nframe TimeUs=9 seq=2\neob\n"), "eor seq=1\neor seq=2\n")
         for text, said in (
-            ("eob\n", "line 1: 'eob' outside"), (frame + "on Who=server_1\nshout a=1\n", "line 3: unknown message"),
-            (frame + "on\n", "line 2: missing"), (frame + "on Who=server_1\nneeds Tid=1\n", "line 3: 'needs' for"),
+            ("eob\n", "line 1: 'eob' outside"), (frame + "on\n", "line 2: missing"),
+            (frame + "on Who=server_1\nshout a=1\n", "line 3: unknown message"),
+            (frame + "on Who=server_1\nneeds Tid=1\n", "line 3: 'needs' for"),
             (frame + "eob\nframe TimeUs=4 seq=2\n", "line 3: batch 2"), (frame, "the input ended inside"),
             (frame + "on x\n", "line 2: 'x' is not"), ("frame TimeUs=x seq=1\n", "line 1: invalid literal"),
         ):
