--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -2,7 +2,8 @@
 
 A front makes one `Server` a process and calls it with the clock in whole microseconds: `read` for each req
 read, `tell` for each word on a req in hand, `gauges` when its wake-up comes, `leave` at the notice to leave,
-`settle` after each batch. Decisions go out through the port's `Door`. `Server.life` is a req's ordinary path, top to bottom; the parts above it decide one thing each. Values marked "ours" are not from the paper.
+`settle` after each batch. Decisions go out through the port's `Door`. `Server.life` is a req's path, top
+to bottom; the parts above it decide one thing each. Values marked "ours" are not from the paper.
 """
 from __future__ import annotations
 
