--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -14,6 +14,7 @@
     FAIL,
     FORGET,
     HOLD,
+    PAST,
     REUSE,
     RUN,
     SKIP,
@@ -33,6 +34,12 @@
 ENDS = (Word.DONE, Word.ERRORED, Word.STOPPED, Word.MOOT)
 
 
+def aim(req) -> int:
+    """By when an answer earns its full value, as far as this server can know: earlier tries are not told."""
+    h = req.handler
+    return req.arrived + min(h.timeout, h.target + int(h.stretch * req.hint))
+
+
 class Learner:
     """UCRL-M on s, the reqs held or running: counts a pair (s, action) and module, EVI, episodes by doubling.
 
@@ -212,7 +219,7 @@
                 if not over and h is newcomer.handler:
                     return newcomer
                 last = self.lines[h][over][-1]
-                if (now - last.arrived) * 10 < h.timeout and last.kb >= newcomer.kb / 2:
+                if (now - last.arrived) * 10 < h.timeout:
                     return last
         return newcomer
 
@@ -227,7 +234,7 @@
     def too_late(self, req, now: int) -> bool:
         h = req.handler
         below = self.below.wait() if h.calls and not h.skip_share else 0
-        return now + self.cost[h] / 2 + below > req.arrived + h.target
+        return now + self.cost[h] / 2 + below > aim(req)
 
 
 class CallsBelow:
@@ -437,7 +444,8 @@
             yield FAIL if req.prior else self.advice.shed(False, leaving=True)
             return
         fresh = self.fleet.fresh_for if h.kind is Kind.REPLAYABLE else 0
-        if req.prior is not None and (h.kind is Kind.UNIQUED or fresh):
+        begun = req.prior is PAST or req.prior and req.prior.state in (ON, OFF)
+        if req.prior and (h.kind is Kind.UNIQUED or fresh and begun):
             yield from self.reuse(req)
             return
         if req.due <= self.now + TICK:                       # rule 1: read too late for the next wake-up
@@ -460,7 +468,7 @@
                 yield self.advice.shed(False, ahead=self.hold.work() / self.machine.cores)
                 return
             self.move(req, HELD, quiet=True)
-            victim.doomed = True                             # swapped for the newcomer: s stays
+            victim.swapped = True                            # for the newcomer: s stays as it is
             self.step(victim, Word.OUT)
         else:
             self.move(req, HELD)
@@ -472,7 +480,7 @@
         word = yield HOLD
         self.hold.drop(req)
         if word is not Word.GO:
-            self.move(req, OVER, quiet=req.doomed and word is Word.OUT, shed=1)
+            self.move(req, OVER, quiet=req.swapped, shed=1)
             if keep:                                         # unrun: a later try may be the one
                 guards.keys.pop(req, None)
                 yield FORGET
@@ -504,7 +512,7 @@
         self.move(req, OFF)
         if req.answered or req.gone:
             return (yield from self.abandon(req, Word.LATE))
-        late = self.now + self.below.wait() > req.arrived + h.target
+        late = self.now + self.below.wait() > aim(req)
         if h.skip_share > 0 and (late or word is not Word.NEEDS):
             self.move(req, ON)
             return (yield SKIP)
@@ -539,6 +547,9 @@
 
     def reuse(self, req):
         """A repeat is answered from the one it repeats; it is never run beside it and never turned away."""
+        if not self.guards.fits(req.kb):                     # rule 4, and it may have run: no promise
+            yield FAIL
+            return
         self.move(req, HELD, quiet=True)
         word = yield REUSE
         self.move(req, OVER, quiet=True)
@@ -552,7 +563,7 @@
         h = req.handler
         return (req.state in (ON, OFF) and not h.late_share and h.kind is Kind.REPLAYABLE
                 and self.machine.stop_mode is not StopMode.NEVER and not req.answered
-                and self.now > req.arrived + h.target)
+                and self.now > aim(req))
 
     def step(self, req, word) -> None:
         if not self.stage.step(req, word):
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -130,6 +130,6 @@
     state: object = None
     over_share: bool = False
     since: int = 0
-    doomed: bool = False
+    swapped: bool = False
     answered: bool = False
     gone: bool = False
