--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -331,8 +331,8 @@
 class Advice:
     """Health answers, and when those turned away should come back."""
 
-    def __init__(self, door, permits, chance) -> None:
-        self.door, self.permits, self.chance, self.level = door, permits, chance, 1.0
+    def __init__(self, door, permits) -> None:
+        self.door, self.permits, self.level = door, permits, 1.0
         self.shedding = 0.0
         door.health(True, True)                              # checks are answered from store, at little cost
 
@@ -340,8 +340,8 @@
         self.saw(True)
         # Short: callers that all stay away for long move in herds, and overrun one server after another.
         longest = self.permits.longest_retry_in if self.permits.retry_in else 0
-        wait = longest if leaving else min(longest, int((25_000 + ahead / 3) * (0.25 + 1.5 * self.chance())))
-        return Shed(wait, hopeless or self.shedding > 0.25)
+        wait = longest if leaving else min(longest, 25_000 + int(ahead) // 3)
+        return Shed(wait, hopeless or self.shedding > 0.15)
 
     def saw(self, shed: bool) -> None:
         """Count one decision on a req: the share shed of late tells whether sheds feed on themselves."""
@@ -358,9 +358,9 @@
 
     def __init__(self, now, door, chance, handlers, customers, machine, limits, below, permits,
                  fleet) -> None:
-        self.now, self.door, self.stage = now, door, Stage(door)
+        self.now, self.door, self.stage, self.chance = now, door, Stage(door), chance.random
         self.machine, self.fleet, self.permits, self.limits = machine, fleet, permits, limits
-        self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits, chance.random)
+        self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
         self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger)
         self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
         self.open: dict = {}                                 # reqs in hand; each leaves at its end
