--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -341,7 +341,7 @@
         # Short: callers that all stay away for long move in herds, and overrun one server after another.
         longest = self.permits.longest_retry_in if self.permits.retry_in else 0
         wait = longest if leaving else min(longest, 25_000 + int(ahead) // 3)
-        return Shed(wait, hopeless or self.shedding > 0.15)
+        return Shed(wait, hopeless or self.shedding > 0.25)
 
     def saw(self, shed: bool) -> None:
         """Count one decision on a req: the share shed of late tells whether sheds feed on themselves."""
