--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -397,6 +397,8 @@
 
     def gauges(self, now: int, gauges) -> None:
         self.now = now
+        if gauges.busy is None:                              # no such gauge here: what runs stands for it
+            gauges = gauges._replace(busy=min(1.0, self.on / self.machine.cores))
         if self.learner:
             self.learner.count(now)
             self.learner.busy = gauges.busy > 0.9                    # the design's gauge
--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -103,9 +103,9 @@
 
     def fired(self, now: int, get: dict[str, str]) -> None:
         int(get["Token"])
-        pairs = (pair.split(":", 1) for pair in get["Telemetry"].split(","))
+        pairs = (pair.split(":", 1) for pair in get.get("Telemetry", "").split(",") if pair)
         got = {name: float(value) for name, value in pairs}
-        self.server.gauges(now, Gauges(got["core_use"], got.get("on_cores"), got.get("heap_share")))
+        self.server.gauges(now, Gauges(got.get("core_use"), got.get("on_cores"), got.get("heap_share")))
 
     def quiesce(self, now: int, get: dict[str, str]) -> None:
         self.server.leave(now, int(get["NotAfterUs"]))
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -100,7 +100,7 @@
 
 class Gauges(NamedTuple):
     """A server's own gauges: share of cores busy lately, what wants a core now, share of memory in use."""
-    busy: float
+    busy: float | None = None
     wanting: float | None = None
     memory: float | None = None
 
