--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -39,6 +39,10 @@
         self.handlers = {h.name: h for h in facts.handlers}
         self.customers = {c.name: c for c in facts.customers}
         self.gauge = facts.machine.gauges
+        self.server = None
+        guarded(self, lambda: self.open(now, seed, facts))
+
+    def open(self, now: int, seed: int, facts: Facts) -> None:
         self.server = Server(now, self, random.Random(seed), facts.handlers, facts.customers, facts.machine,
                              facts.limits, facts.below, facts.permits, facts.fleet)
 
@@ -157,10 +161,8 @@
         self.seat, self.server = seat, seat.server
 
     def __getattr__(self, name: str) -> Callable[..., None]:
-        act = getattr(self.server, name)
-
         def call(*given: object) -> None:
-            guarded(self.seat, lambda: act(*given))
+            guarded(self.seat, lambda: getattr(self.server, name)(*given))
         return call
 
 
