--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -133,7 +133,7 @@
                         q = max(q, gain + d2 * emptier + u2 * fuller)
                     best.append(q)
                 policy.append(1 if best[1] >= best[0] else 0)
-                gains.append(best[1] if best[1] >= best[0] else best[0])
+                gains.append(max(best))
             bias = [b + g - gains[0] for b, g in zip(bias, gains, strict=False)]
             if max(gains) - min(gains) < self.holding / 8:
                 break
@@ -325,7 +325,11 @@
         """Rule 3: nothing that came later than the grace is run; near the stop nothing more is begun."""
         if self.notice is None:
             return True
-        return req.arrived <= self.notice + self.limits.drain_grace and now < self.stop_at - 2 * TICK
+        return req.arrived <= self.notice + self.limits.drain_grace and not self.closing(now)
+
+    def closing(self, now: int) -> bool:
+        """The stop is near: all in hand is answered now."""
+        return self.stop_at is not None and now >= self.stop_at - 2 * TICK
 
 
 class Advice:
@@ -358,8 +362,9 @@
 
     def __init__(self, now, door, chance, handlers, customers, machine, limits, below, permits,
                  fleet) -> None:
-        self.now, self.door, self.stage, self.chance = now, door, Stage(door), chance.random
-        self.machine, self.fleet, self.permits, self.limits = machine, fleet, permits, limits
+        # `chance` is unused so far: nothing is drawn by lot.
+        self.now, self.door, self.stage = now, door, Stage(door)
+        self.machine, self.fleet = machine, fleet
         self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
         self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger)
         self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
@@ -368,8 +373,7 @@
         self.quota = {c: [1e9, now] for c in customers}      # one row a customer; full at first
         target = sum(h.target for h in handlers) / len(handlers)
         self.crowd = machine.cores * limits.tip_multiple
-        self.target, self.handlers = target, handlers
-        self.learner = None
+        self.target, self.learner = target, None
         door.wake(TICK)
 
     # What the front calls.
@@ -409,7 +413,7 @@
         self.advice.stamp(self.guards.speed(now))
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
-        stopping = self.guards.stop_at is not None and now >= self.guards.stop_at - 2 * TICK
+        stopping = self.guards.closing(now)
         for req in list(self.open):                          # rule 1: answered before its time is up
             if not req.answered and not req.gone and (stopping or req.due <= now + TICK):
                 self.step(req, Word.LATE)
@@ -543,7 +547,7 @@
         if not req.gone and not req.answered:
             req.answered = True
             yield self.advice.shed(True) if word is Word.OUT else FAIL
-        if self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE:
+        if self.stoppable(req):
             yield STOP
         return (yield WAIT)
 
@@ -563,10 +567,13 @@
     def worthless(self, req) -> bool:
         """A run past its target that can still be stopped, where a late answer earns nothing."""
         h = req.handler
-        return (req.state in (ON, OFF) and not h.late_share and h.kind is Kind.REPLAYABLE
-                and self.machine.stop_mode is not StopMode.NEVER and not req.answered
+        return (req.state in (ON, OFF) and not h.late_share and self.stoppable(req) and not req.answered
                 and self.now > aim(req))
 
+    def stoppable(self, req) -> bool:
+        """Whether its run may be stopped: the machine can, and no effect is left half made."""
+        return self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE
+
     def step(self, req, word) -> None:
         if not self.stage.step(req, word):
             self.open.pop(req, None)
--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -38,7 +38,6 @@
         self.reqs: dict[str, Ticketed] = {}
         self.handlers = {h.name: h for h in facts.handlers}
         self.customers = {c.name: c for c in facts.customers}
-        self.gauge = facts.machine.gauges
         self.server = None
         guarded(self, lambda: self.open(now, seed, facts))
 
--- a/gullyoke/port/__init__.py
+++ b/gullyoke/port/__init__.py
@@ -39,6 +39,5 @@
 __all__ = [
     "FAIL", "FORGET", "HOLD", "PAST", "REUSE", "RUN", "SKIP", "STOP", "WAIT", "Below", "Call", "Customer",
     "Door", "Fleet", "Gauges", "Handler", "Keep", "Kind", "Limits", "Machine", "Permits", "Repeat", "Req",
-    "Shed",
-    "Stage", "StopMode", "Word",
+    "Shed", "Stage", "StopMode", "Word",
 ]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -52,7 +52,7 @@
         self.handlers, self.customers, self.reqs = {}, {}, {}
         self.server, self.now, self.due, self.use = None, 0, None, 1.0
         self.said, self.ever, self.notes, self.most = [], [], {}, 0
-        self.running, self.calling = set(), set()
+        self.running = set()
 
     # The Door.
 
