Bound calls by booked time over the span: a share under one lets calls out again

Cause: at full size a server's stated share is 0.4 to 0.5 calls. Now the time of what ended within the span, and of what is out to the end of its patience and linger, stays under the share; patience is four usual calls, or a quarter of what is left. Also covers any fleet larger than the share was cut for; might hurt where calls vary widely in length, since a long one is given up at four usual ones when little is left.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -233,61 +233,65 @@
 
     def too_late(self, req, now: int) -> bool:
         h = req.handler
-        below = self.below.wait() if h.calls and not h.skip_share else 0
+        below = self.below.wait(now) if h.calls and not h.skip_share else 0
         return now + self.cost[h] / 2 + below > aim(req)
 
 
 class CallsBelow:
-    """A bound of its own on calls in hand, given-up ones included; the line goes by value when it is slow.
+    """A bound of its own on the time that calls are in hand; the line goes by value when it is slow.
 
-    Tables: the line (left when let out or given up) and the ghosts (given-up calls, gone after `linger`).
+    Rule 4 by ourselves: what ended within the span and what is out, each counted to the end of its patience
+    and its linger, together stay under our share of the span, also where the share is under one call.
+    Tables: the line (left when let out or given up) and `spent` (calls that ended, gone after the span).
     """
 
     def __init__(self, now: int, share: float | None, span: int, linger: int) -> None:
         self.share, self.span, self.linger = share, span, linger
-        self.out, self.line, self.ghosts = 0, [], deque()
-        self.last, self.debt, self.usual, self.lately, self.hush = now, 0.0, 0.0, 0.0, now
+        self.budget = math.inf if share is None else 0.95 * share * span
+        self.line, self.spent, self.used, self.booked = [], deque(), 0, 0
+        self.usual, self.lately, self.hush = 0.0, 0.0, now
 
-    def _account(self, now: int) -> None:
-        while self.ghosts and self.ghosts[0] <= now:
-            self.ghosts.popleft()
-        if self.share is not None:
-            over = self.out + len(self.ghosts) - 0.8 * self.share
-            self.debt = max(0.0, self.debt + over * (now - self.last))
-        self.last = now
+    def left(self, now: int) -> float:
+        """The call time that is still ours."""
+        while self.spent and self.spent[0][0] <= now:
+            self.used -= self.spent.popleft()[1]
+        return self.budget - self.used - self.booked
 
     def try_for(self, req, now: int) -> int:
-        return max(1, min(req.due - now, 2 * self.span // 5))
+        """The patience with a call: a few usual ones (ours), or a quarter of what is left where that is more."""
+        most = min(max(4 * self.lately, self.left(now) / 4), 2 * self.span // 5, self.budget - self.linger)
+        return max(1, int(min(req.due - now, most)))
 
     def room(self, req, now: int) -> bool:
-        """Whether one more keeps the mean over any span under our share, however long it takes (rule 4)."""
-        self._account(now)
-        if now < self.hush or self.share is None:
-            return now >= self.hush
-        over = self.out + len(self.ghosts) + 1 - 0.8 * self.share
-        return self.debt + max(0.0, over) * self.try_for(req, now) <= 0.2 * self.share * self.span
-
-    def began(self, now: int) -> None:
-        self._account(now)
-        self.out += 1
-
-    def ended(self, now: int, word: Word, took: int) -> None:
-        self._account(now)
-        self.out -= 1
+        """Whether one more stays within our share, however long it takes."""
+        return now >= self.hush and self.try_for(req, now) + self.linger <= self.left(now)
+
+    def began(self, patience: int) -> None:
+        self.booked += patience + self.linger
+
+    def ended(self, now: int, word: Word, took: int, patience: int) -> None:
+        self.booked -= patience + self.linger
+        lost = word not in (Word.CALL_OK, Word.CALL_UNRUN)
+        spent = took + (self.linger if lost else 0)
+        self.spent.append((now + spent - took + self.span, spent))
+        self.used += spent
         if word is not Word.CALL_OK:
             self.hush = now + TICK                # a failed call is not followed at once by another
-            if word is not Word.CALL_UNRUN:
-                self.ghosts.append(now + self.linger)
-            return
-        self.lately += (took - self.lately) / (8 if self.lately else 1)
+        if word is Word.CALL_OK or lost and took > self.lately:      # one given up took that long at the least
+            self.lately += (took - self.lately) / (8 if self.lately else 1)
         self.usual = min(self.usual or self.lately, self.lately) * 1.001
 
     def slow(self) -> bool:
         return self.lately > 2 * self.usual
 
-    def wait(self) -> float:
-        """How long a call that joins the line now is likely to take."""
-        return self.lately * (1 + len(self.line) / max(1.0, self.share or 8.0))
+    def wait(self, now: int) -> float:
+        """How long a call that joins the line now is likely to take: what is ours comes back at our share."""
+        if self.share is None:
+            return self.lately * (1 + len(self.line) / 8)
+        if self.budget <= self.linger:            # none can be made within our share
+            return math.inf
+        short = max(0.0, min(self.budget, self.linger + 4 * self.lately) - self.left(now))
+        return self.lately + (len(self.line) * self.lately + short) / self.share
 
     def pick(self):
         if self.slow():
@@ -518,7 +522,7 @@
         self.move(req, OFF)
         if req.answered or req.gone:
             return (yield from self.abandon(req, Word.LATE))
-        late = self.now + self.below.wait() > aim(req)
+        late = self.now + self.below.wait(self.now) > aim(req)
         if h.skip_share > 0 and (late or word is not Word.NEEDS):
             self.move(req, ON)
             return (yield SKIP)
@@ -532,12 +536,12 @@
             self.below.line.remove(req)
             if word is not Word.GO:
                 return (yield from self.abandon(req, word))
-        began = self.now
-        self.below.began(began)
-        word = yield Call(self.below.try_for(req, began))
+        began, patience = self.now, self.below.try_for(req, self.now)
+        self.below.began(patience)
+        word = yield Call(patience)
         while word in (Word.LATE, Word.GONE, Word.OUT):
             word = yield from self.abandon(req, word)
-        self.below.ended(self.now, word, self.now - began)
+        self.below.ended(self.now, word, self.now - began, patience)
         if word is Word.CALL_OK:
             self.move(req, ON)
         return word
