--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -60,7 +60,7 @@
         self.ups, self.downs, self.sheds = (
             [[prior * x for x in row] for _ in range(modules)] for row in (comes, ends, shed))
         self.before = [row[:] for row in self.visits]
-        self.bias, self.policy = [0.0] * (top + 1), [1] * (top + 1)
+        self.steepness, self.policy = [0.0] * (top + 1), [1] * (top + 1)   # of the bias, from s to s + 1
         self.episodes, self.bound, self.fresh, self.ramp = 0, 0, True, modules
 
     def admits(self) -> bool:
@@ -108,11 +108,11 @@
         """
         self.fresh, self.ramp, self.episodes = False, self.modules, self.episodes + 1
         self.before = [row[:] for row in self.visits]
-        log, worst, rows = math.log(4 * (self.steps + 2)), 1 + self.holding * self.top, []
+        log, worst, rows, most = math.log(4 * (self.steps + 2)), 1 + self.holding * self.top, [], 1e-9
         for pair in range(2 * (self.top + 1)):
-            s = pair // 2
-            m = max(range(self.modules), key=lambda m: self.visits[m][pair])
-            n = max(1.0, self.visits[m][pair])
+            s, visits = pair // 2, [row[pair] for row in self.visits]
+            n = max(visits)
+            m, n = visits.index(n), max(1.0, n)
             cost, slack = self.holding * s + self.sheds[m][pair] / n, self.width * math.sqrt(8 * log / n) / 2
             gain = min(0.0, self.width * worst * math.sqrt(2 * log / n) - cost)
             up, down = self.ups[m][pair] / n, self.downs[m][pair] / n
@@ -120,25 +120,27 @@
             far_up = min(1.0, up + slack) if s < self.top else 0.0
             rows.append((gain, far_down, min(max(0.0, up - slack), 1 - far_down),
                          min(max(0.0, down - slack), 1 - far_up), far_up))
-        bias, top = self.bias, self.top
-        for _ in range(60):
-            gains, policy = [], []
-            for s in range(top + 1):
-                here = bias[s]
-                emptier, fuller = (bias[s - 1] - here if s else 0.0), (bias[s + 1] - here if s < top else 0.0)
-                best = []
-                for gain, d, u, d2, u2 in rows[2 * s:2 * s + 2]:
-                    q = gain + d * emptier + u * fuller
-                    if fuller > 0:                    # unexplored fuller states may look better
-                        q = max(q, gain + d2 * emptier + u2 * fuller)
-                    best.append(q)
-                policy.append(1 if best[1] >= best[0] else 0)
-                gains.append(max(best))
-            bias = [b + g - gains[0] for b, g in zip(bias, gains, strict=False)]
-            if max(gains) - min(gains) < self.holding / 8:
+            most = max(most, far_down + rows[-1][2], far_up + rows[-1][3])
+        # Uniformized at the model's own largest rate: the same policy and bias in fewer sweeps.
+        scale = 0.95 / most
+        rows = [tuple(x * scale for x in row) for row in rows]
+        both, steps, policy = list(zip(rows[::2], rows[1::2], strict=True)), self.steepness, []
+        for _ in range(30):
+            gains, policy, emptier = [], [], 0.0
+            for (r0, d0, u0, a0, b0), (r1, d1, u1, a1, b1) in both:
+                fuller = steps[len(gains)]
+                q0, q1 = r0 - d0 * emptier + u0 * fuller, r1 - d1 * emptier + u1 * fuller
+                if fuller > 0:                        # unexplored fuller states may look better
+                    q0 = max(q0, r0 - a0 * emptier + b0 * fuller)
+                    q1 = max(q1, r1 - a1 * emptier + b1 * fuller)
+                policy.append(q1 >= q0)
+                gains.append(q1 if q1 >= q0 else q0)
+                emptier = fuller
+            for s in range(self.top):
+                steps[s] += gains[s + 1] - gains[s]
+            if max(gains) - min(gains) < self.holding * scale / 8:
                 break
-        base = bias[0]
-        self.bias, self.policy = [b - base for b in bias], policy
+        self.policy = [int(x) for x in policy]
 
     def story(self) -> str:
         """Where the threshold stands (the first s refused), for the log."""
@@ -258,7 +260,7 @@
         return self.budget - self.used - self.booked
 
     def try_for(self, req, now: int) -> int:
-        """The patience with a call: a few usual ones (ours), or a quarter of what is left where that is more."""
+        """The patience with a call: a few usual ones (ours), or a quarter of what is left if more."""
         most = min(max(4 * self.lately, self.left(now) / 4), 2 * self.span // 5, self.budget - self.linger)
         return max(1, int(min(req.due - now, most)))
 
@@ -277,7 +279,7 @@
         self.used += spent
         if word is not Word.CALL_OK:
             self.hush = now + TICK                # a failed call is not followed at once by another
-        if word is Word.CALL_OK or lost and took > self.lately:      # one given up took that long at the least
+        if word is Word.CALL_OK or lost and took > self.lately:  # one lost took that long at the least
             self.lately += (took - self.lately) / (8 if self.lately else 1)
         self.usual = min(self.usual or self.lately, self.lately) * 1.001
 
