--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -35,9 +35,12 @@
 
 
 def aim(req) -> int:
-    """By when an answer earns its full value, as far as this server can know: earlier tries are not told."""
+    """By when an answer earns its full value, as far as this server can know: earlier tries are not told.
+
+    Guards against runs for callers whose patience with a try is shorter than the target.
+    """
     h = req.handler
-    return req.arrived + min(h.timeout, h.target + int(h.stretch * req.hint))
+    return min(req.due - TICK, req.arrived + h.target + int(h.stretch * req.hint))
 
 
 class Learner:
