--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -239,7 +239,7 @@
     def too_late(self, req, now: int) -> bool:
         h = req.handler
         below = self.below.wait(now) if h.calls and not h.skip_share else 0
-        return now + self.cost[h] / 2 + below > aim(req)
+        return now + self.cost[h] + below > aim(req)
 
 
 class CallsBelow:
