--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -49,7 +49,7 @@
     Tables: one row for each pair and module, 2 * 3 * (S + 1), fixed at the start; emptied by a restart.
     """
 
-    def __init__(self, now: int, top: int, cores: int, work: float, holding: float, modules=3, width=0.05,
+    def __init__(self, now: int, top: int, cores: int, work: float, holding: float, modules=3, width=0.02,
                  prior=4.0) -> None:
         self.top, self.cores, self.modules, self.width = top, cores, modules, width
         self.step = max(1, int(work / cores / 12))    # ours: a dozen steps for each req a full server ends
