Cores read first while what is read has grown old unread

While the last read was older than a quarter of the mean target (ours), nothing new is run, so that reading catches up and sheds come while their callers can go elsewhere. Nothing is lost by it: the cores are taken by reading. Also covers bursts of retries and slow spells. Might hurt where reads are old for a reason other than the cores.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -379,6 +379,7 @@
         self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
         self.open: dict = {}                                 # reqs in hand; each leaves at its end
         self.on = self.off = 0
+        self.last_read = self.unread = 0
         self.quota = {c: [1e9, now] for c in customers}      # one row a customer; full at first
         target = sum(h.target for h in handlers) / len(handlers)
         self.crowd = machine.cores * limits.tip_multiple
@@ -393,6 +394,7 @@
             top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
                                                  2.5 * self.crowd)))
             self.learner = Learner(now, top, self.machine.cores, self.target / 6, 2 / self.target)
+        self.last_read, self.unread = now, now - req.arrived
         req.life = self.life(req)
         self.open[req] = None
         self.step(req, None)
@@ -443,7 +445,7 @@
             if not self.guards.may_run(req, now) or self.hold.too_late(req, now):
                 self.step(req, Word.OUT)
                 continue
-            if self.on >= int(self.cap.now) or self.on + self.off + 1 > crowd:
+            if self.on >= int(self.cap.now) or self.on + self.off + 1 > crowd or self.stale(now):
                 break
             if not self.guards.fits(req.kb * more):
                 break
@@ -579,6 +581,11 @@
         return (req.state in (ON, OFF) and not h.late_share and self.stoppable(req) and not req.answered
                 and self.now > aim(req))
 
+    def stale(self, now: int) -> bool:
+        """Whether what is read has grown old unread: the cores go to reading first, so that what must be shed
+        is shed while its caller can still go elsewhere, and not all at the edge of its time."""
+        return now - self.last_read < 2 * TICK and self.unread > self.target / 4
+
     def stoppable(self, req) -> bool:
         """Whether its run may be stopped: the machine can, and no effect is left half made."""
         return self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE
