Half the holding cost: on small servers a short hold costs less than a shed

Cause: with two cores the cost of two sheds for a target held put the threshold at two or three reqs, and a twentieth of the reqs was refused by servers with room.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -393,7 +393,7 @@
         if self.learner is None:                             # S: what memory holds running, above the crowd
             top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
                                                  2.5 * self.crowd)))
-            self.learner = Learner(now, top, self.machine.cores, self.target / 6, 2 / self.target)
+            self.learner = Learner(now, top, self.machine.cores, self.target / 6, 1 / self.target)
         self.last_read, self.unread = now, now - req.arrived
         req.life = self.life(req)
         self.open[req] = None
