Refuse at once what would get its turn too late; calls left out in time

While the cores are busy a newcomer whose turn would come too late is now refused at the door; a stopped run counts as a usual time of at least what it took; the usual time keeps no fresh req out, so that a server that is well again learns of it; nor do old news of calls below, which could shut out all that calls for good. A req in the line for a call that can be left out goes on without it while it is still in time. Also covers a server whose work hangs. Might hurt where run times vary widely.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -236,10 +236,18 @@
         """The time that all that is held takes on one core."""
         return sum(self.cost[h] * (len(pair[0]) + len(pair[1])) for h, pair in self.lines.items())
 
+    def ahead(self, h) -> float:
+        """The time on one core of all that takes its turn before a newcomer of this handler."""
+        turns = (len(self.lines[h][0]) + len(self.lines[h][1])) * self.charge(h)
+        return sum(self.cost[g] * min(len(pair[0]) + len(pair[1]), turns / self.charge(g))
+                   for g, pair in self.lines.items())
+
     def too_late(self, req, now: int) -> bool:
+        """Whether a run begun then would end too late. The usual time counts to three quarters of the target
+        (ours): a server that was slow goes on trying fresh reqs, and so learns when it is well again."""
         h = req.handler
         below = self.below.wait(now) if h.calls and not h.skip_share else 0
-        return now + self.cost[h] + below > aim(req)
+        return now + min(self.cost[h], 0.75 * h.target) + below > aim(req)
 
 
 class CallsBelow:
@@ -254,7 +262,7 @@
         self.share, self.span, self.linger = share, span, linger
         self.budget = math.inf if share is None else 0.95 * share * span
         self.line, self.spent, self.used, self.booked = [], deque(), 0, 0
-        self.usual, self.lately, self.hush = 0.0, 0.0, now
+        self.usual, self.lately, self.hush, self.told = 0.0, 0.0, now, now
 
     def left(self, now: int) -> float:
         """The call time that is still ours."""
@@ -276,6 +284,7 @@
 
     def ended(self, now: int, word: Word, took: int, patience: int) -> None:
         self.booked -= patience + self.linger
+        self.told = now
         lost = word not in (Word.CALL_OK, Word.CALL_UNRUN)
         spent = took + (self.linger if lost else 0)
         self.spent.append((now + spent - took + self.span, spent))
@@ -291,12 +300,19 @@
 
     def wait(self, now: int) -> float:
         """How long a call that joins the line now is likely to take: what is ours comes back at our share."""
-        if self.share is None:
-            return self.lately * (1 + len(self.line) / 8)
         if self.budget <= self.linger:            # none can be made within our share
             return math.inf
-        short = max(0.0, min(self.budget, self.linger + 4 * self.lately) - self.left(now))
-        return self.lately + (len(self.line) * self.lately + short) / self.share
+        old = not self.booked and not self.line and now > self.told + self.lately
+        call = 0.0 if old else self.lately        # the next call tells how it stands below
+        if self.share is None:
+            return call * (1 + len(self.line) / 8)
+        short = max(0.0, min(self.budget, self.linger + 4 * call) - self.left(now))
+        return call + (len(self.line) * call + short) / self.share
+
+    def leave_out(self, now: int):
+        """Those in the line that must go on without their call now to be in time."""
+        return [r for r in self.line
+                if r.handler.skip_share and now + self.lately + r.handler.target / 8 > aim(r)]
 
     def pick(self):
         if self.slow():
@@ -424,6 +440,8 @@
         self.advice.stamp(self.guards.speed(now))
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
+        for req in self.below.leave_out(now):
+            self.step(req, Word.OUT)
         stopping = self.guards.closing(now)
         for req in list(self.open):                          # rule 1: answered before its time is up
             if not req.answered and not req.gone and (stopping or req.due <= now + TICK):
@@ -468,6 +486,11 @@
         if req.due <= self.now + TICK:                       # rule 1: read too late for the next wake-up
             yield self.advice.shed(True)
             return
+        ahead = self.hold.ahead(h) / self.machine.cores
+        if self.learner.binds() and self.hold.too_late(req, self.now + int(ahead)):
+            self.learner.count(self.now, 0, 1)               # its turn would come too late: told at once
+            yield self.advice.shed(self.hold.too_late(req, self.now), ahead=ahead)
+            return
         keep = h.window if h.kind is Kind.UNIQUED else 0
         spare = min(0.5 * self.machine.memory_kb,            # held reqs leave room to run some
                     max(0, self.machine.cores - self.on - self.off) * req.kb * (self.machine.blowup - 1))
@@ -520,7 +543,7 @@
             else:
                 word = yield from self.abandon(req, word)
         self.move(req, OVER)
-        if word is Word.DONE:
+        if word is Word.DONE or self.now - req.since > self.hold.cost[h]:    # or it took that long at least
             self.hold.ran(h, self.now - req.since)
 
     def call(self, req, word):
@@ -541,6 +564,9 @@
             self.below.line.append(req)
             word = yield WAIT
             self.below.line.remove(req)
+            if word is Word.OUT and h.skip_share > 0:
+                self.move(req, ON)
+                return (yield SKIP)
             if word is not Word.GO:
                 return (yield from self.abandon(req, word))
         began, patience = self.now, self.below.try_for(req, self.now)
