A customer's share saves up eight reqs: gaps between few reqs a second are chance

Cause: a server's part of a quota is under one req a second at full size and saved up 1.3 reqs at the most, so that chance marked a large part of what came within a share as beyond it; such reqs wait for all others and are the first to go. Nothing changes where a server's part is four reqs a second or more. Might hurt where a customer beyond its share sends in bursts with long gaps.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -639,7 +639,7 @@
             return
         row = self.quota[req.customer]
         rate = req.customer.quota / max(1, self.fleet.size) / 1e6
-        row[0] = min(max(1.0, rate * 2_000_000), row[0] + rate * (self.now - row[1]))
+        row[0] = min(max(8.0, rate * 2_000_000), row[0] + rate * (self.now - row[1]))
         row[1] = self.now
         req.over_share = row[0] < 1
         row[0] -= not req.over_share
