Calls without a stated share or span wait as long as their caller

Where no share is stated (a tier of servers below) no span is either, and the patience with a call came out as a microsecond: every call would have been lost.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -272,6 +272,8 @@
 
     def try_for(self, req, now: int) -> int:
         """The patience with a call: a few usual ones (ours), or a quarter of what is left if more."""
+        if self.share is None:                    # no bound is stated, and no span
+            return max(1, req.due - now)
         most = min(max(4 * self.lately, self.left(now) / 4), 2 * self.span // 5, self.budget - self.linger)
         return max(1, int(min(req.due - now, most)))
 
@@ -397,9 +399,8 @@
         self.on = self.off = 0
         self.last_read = self.unread = 0
         self.quota = {c: [1e9, now] for c in customers}      # one row a customer; full at first
-        target = sum(h.target for h in handlers) / len(handlers)
+        self.target, self.learner = sum(h.target for h in handlers) / len(handlers), None
         self.crowd = machine.cores * limits.tip_multiple
-        self.target, self.learner = target, None
         door.wake(TICK)
 
     # What the front calls.
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -92,12 +92,12 @@
         machine = Machine(int(g["cores"]), g["memory"], g["blowup"], g["key"], bool(g["cold"]),
                           StopMode(g["stop"]), ())
         limits = Limits(80_000, int(g["grace"] * 1000), g["tip"], 1_500_000, 0.25, int(g["cold"] * 1000))
-        share = None if g["share"] == "none" else g["share"]
+        share, span = (None, 0) if g["share"] == "none" else (g["share"], 5_000_000)
         permits = Permits(g["retry"] > 0, int(g["retry"] * 1000), g["stamp"], 1_000_000, bool(g["tells"]),
                           True, False, False, 30_000_000)
         self.server = Server(self.now, self, random.Random(1), list(self.handlers.values()),
                              list(self.customers.values()), machine, limits,
-                             Below(True, share, 5_000_000, int(g["linger"] * 1000)), permits,
+                             Below(True, share, span, int(g["linger"] * 1000)), permits,
                              Fleet(int(g["fleet"]), bool(g["work"]), g["over"], int(g["fresh"] * 1000)))
 
     def until(self, time):
