Idle connections closed soon where few callers can have one, unless most reqs are shed

Cause: a thousand gateways, a hundred connections a server, each kept for 30 s though it speaks every few minutes. Where less than a quarter of the callers stated at the start have a connection, idle ones are closed after a tenth of what callers would keep them. While more than half of the reqs are shed they stay again, since a full table is then the cheapest refusal, and afterwards it opens little by little. Where few callers are told nothing is closed. Might hurt where handshakes cost much more than readings and callers come every few seconds.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -10,24 +10,8 @@
 import math
 from collections import deque
 
-from gullyoke.port import (
-    FAIL,
-    FORGET,
-    HOLD,
-    PAST,
-    REUSE,
-    RUN,
-    SKIP,
-    STOP,
-    WAIT,
-    Call,
-    Keep,
-    Kind,
-    Shed,
-    Stage,
-    StopMode,
-    Word,
-)
+from gullyoke.port import PAST, Call, Keep, Kind, Shed, Stage, StopMode, Word
+from gullyoke.port import stage as to
 
 TICK = 100_000                     # between wake-ups (ours); one wake-up is out at a time
 HELD, ON, OFF, OVER = "held", "on", "off", "over"   # in the hold; on the cores; at a call; no longer here
@@ -364,7 +348,7 @@
 
     def __init__(self, door, permits) -> None:
         self.door, self.permits, self.level = door, permits, 1.0
-        self.shedding = 0.0
+        self.shedding, self.idle, self.told = 0.0, permits.longest_idle / 10, permits.longest_idle
         door.health(True, True)                              # checks are answered from store, at little cost
 
     def shed(self, hopeless: bool, leaving: bool = False, ahead: float = 0.0) -> Shed:
@@ -374,6 +358,22 @@
         wait = longest if leaving else min(longest, 25_000 + int(ahead) // 3)
         return Shed(wait, hopeless or self.shedding > 0.25)
 
+    def connections(self, links: float | None, callers: int) -> None:
+        """Guards against a table full of connections that hardly speak, which costs work and turns callers
+        away unheard: where few callers can have one, idle ones are closed soon. While many reqs are shed they
+        stay, since a full table is the cheapest refusal; then it opens little by little, not as a flood."""
+        longest = self.permits.longest_idle
+        if links is None or not longest:
+            return
+        if links * 4 > callers:
+            self.idle = longest
+        else:
+            change = 0.98 if self.shedding < 0.5 else 1.1
+            self.idle = max(longest / 10, min(longest, self.idle * change))
+        if not 0.9 < self.idle / self.told < 1.1:
+            self.told = self.idle
+            self.door.idle(int(self.idle))
+
     def saw(self, shed: bool) -> None:
         """Count one decision on a req: the share shed of late tells whether sheds feed on themselves."""
         self.shedding += (shed - self.shedding) / 64
@@ -439,6 +439,7 @@
         self.guards.expire(now)
         self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now))
         self.advice.stamp(self.guards.speed(now))
+        self.advice.connections(gauges.links, self.fleet.callers)
         for req in self.hold.hopeless(now):
             self.step(req, Word.OUT)
         for req in self.below.leave_out(now):
@@ -477,7 +478,7 @@
         h, guards = req.handler, self.guards
         self.note_share(req)
         if not guards.may_run(req, self.now):                # a repeat may have run: no promise then
-            yield FAIL if req.prior else self.advice.shed(False, leaving=True)
+            yield to.FAIL if req.prior else self.advice.shed(False, leaving=True)
             return
         fresh = self.fleet.fresh_for if h.kind is Kind.REPLAYABLE else 0
         begun = req.prior is PAST or req.prior and req.prior.state in (ON, OFF)
@@ -518,13 +519,13 @@
             yield Keep(keep)
         self.hold.add(req)
         self.advice.saw(False)
-        word = yield HOLD
+        word = yield to.HOLD
         self.hold.drop(req)
         if word is not Word.GO:
             self.move(req, OVER, quiet=req.swapped, shed=1)
             if keep:                                         # unrun: a later try may be the one
                 guards.keys.pop(req, None)
-                yield FORGET
+                yield to.FORGET
             if word is not Word.GONE:
                 yield self.advice.shed(word is Word.LATE or self.hold.too_late(req, self.now),
                                        ahead=self.hold.work() / self.machine.cores)
@@ -535,10 +536,10 @@
         if fresh and req.keyed and guards.fits(self.machine.key_kb):
             guards.keys[req] = self.now + h.target + fresh
             yield Keep(h.target + fresh)
-        word = yield RUN
+        word = yield to.RUN
         while word not in ENDS:
             if word is Word.CALL_OK:
-                word = yield WAIT
+                word = yield to.WAIT
             elif word in (Word.NEEDS, Word.CALL_UNRUN, Word.CALL_LOST):
                 word = yield from self.call(req, word)
             else:
@@ -556,18 +557,18 @@
         late = self.now + self.below.wait(self.now) > aim(req)
         if h.skip_share > 0 and (late or word is not Word.NEEDS):
             self.move(req, ON)
-            return (yield SKIP)
+            return (yield to.SKIP)
         if late and not h.late_share and h.kind is Kind.REPLAYABLE:
             return (yield from self.abandon(req, Word.OUT))
         if word is Word.CALL_LOST and h.kind is not Kind.REPLAYABLE:     # rule 2: it may have had its effect
             return (yield from self.abandon(req, Word.LATE))
         if not self.below.room(req, self.now) or self.below.line:
             self.below.line.append(req)
-            word = yield WAIT
+            word = yield to.WAIT
             self.below.line.remove(req)
             if word is Word.OUT and h.skip_share > 0:
                 self.move(req, ON)
-                return (yield SKIP)
+                return (yield to.SKIP)
             if word is not Word.GO:
                 return (yield from self.abandon(req, word))
         began, patience = self.now, self.below.try_for(req, self.now)
@@ -584,21 +585,21 @@
         """A run that nobody waits for: answered if it must be, stopped where that is safe and allowed."""
         if not req.gone and not req.answered:
             req.answered = True
-            yield self.advice.shed(True) if word is Word.OUT else FAIL
+            yield self.advice.shed(True) if word is Word.OUT else to.FAIL
         if self.stoppable(req):
-            yield STOP
-        return (yield WAIT)
+            yield to.STOP
+        return (yield to.WAIT)
 
     def reuse(self, req):
         """A repeat is answered from the one it repeats; it is never run beside it and never turned away."""
         if not self.guards.fits(req.kb):                     # rule 4, and it may have run: no promise
-            yield FAIL
+            yield to.FAIL
             return
         self.move(req, HELD, quiet=True)
-        word = yield REUSE
+        word = yield to.REUSE
         self.move(req, OVER, quiet=True)
         if word is Word.LATE:
-            yield FAIL
+            yield to.FAIL
 
     # Book-keeping.
 
--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -108,7 +108,7 @@
         int(get["Token"])
         pairs = (pair.split(":", 1) for pair in get.get("Telemetry", "").split(",") if pair)
         got = {name: float(value) for name, value in pairs}
-        self.server.gauges(now, Gauges(got.get("core_use"), got.get("on_cores"), got.get("heap_share")))
+        self.server.gauges(now, Gauges(got.get("core_use"), got.get("on_cores"), got.get("links")))
 
     def quiesce(self, now: int, get: dict[str, str]) -> None:
         self.server.leave(now, int(get["NotAfterUs"]))
--- a/gullyoke/drill/options.py
+++ b/gullyoke/drill/options.py
@@ -62,5 +62,6 @@
         truth(info.get("PassesDeadline", "false")), truth(info.get("DeepChecks", "false")),
         truth(info.get("Readiness", "false")), int(info.get("CallerIdleUs", 0)))
     fleet = Fleet(int(get["FleetSize"]), COUNTED[get.get("WorthBy", "request")],
-                  float(get.get("OverShareWorth", 1)), int(info.get("FreshForUs", 0)))
+                  float(get.get("OverShareWorth", 1)), int(info.get("FreshForUs", 0)),
+                  int(info.get("Callers", 0)))
     return Facts(handlers, customers, machine, limits, below, permits, fleet)
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -91,18 +91,19 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """The servers beside this one, and how their work is counted."""
+    """The servers beside this one, how their work is counted, and how many callers there are."""
     size: int
     by_work: bool
     over_share: float
     fresh_for: int
+    callers: int = 0
 
 
 class Gauges(NamedTuple):
-    """A server's own gauges: share of cores busy lately, what wants a core now, share of memory in use."""
+    """A server's own gauges: share of cores busy lately, what wants a core now, connections open."""
     busy: float | None = None
     wanting: float | None = None
-    memory: float | None = None
+    links: float | None = None
 
 
 class Repeat:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -48,9 +48,9 @@
     def __init__(self):
         self.given = dict(cores=2, memory=1e6, blowup=4, key=0, cold=0, stop="never", tip=8,
                           share="none", tells=0, fresh=0, retry=1000, stamp=None, fleet=1, grace=1000,
-                          work=0, over=0.1, linger=200)
+                          work=0, over=0.1, linger=200, callers=1)
         self.handlers, self.customers, self.reqs = {}, {}, {}
-        self.server, self.now, self.due, self.use = None, 0, None, 1.0
+        self.server, self.now, self.due, self.use, self.links = None, 0, None, 1.0, None
         self.said, self.ever, self.notes, self.most = [], [], {}, 0
         self.running = set()
 
@@ -98,13 +98,14 @@
         self.server = Server(self.now, self, random.Random(1), list(self.handlers.values()),
                              list(self.customers.values()), machine, limits,
                              Below(True, share, span, int(g["linger"] * 1000)), permits,
-                             Fleet(int(g["fleet"]), bool(g["work"]), g["over"], int(g["fresh"] * 1000)))
+                             Fleet(int(g["fleet"]), bool(g["work"]), g["over"], int(g["fresh"] * 1000),
+                                   int(g["callers"])))
 
     def until(self, time):
         """Let the wake-ups up to then come."""
         while self.due is not None and self.due <= time:
             self.now, self.due = self.due, None
-            self.server.gauges(self.now, Gauges(self.use, len(self.running)))
+            self.server.gauges(self.now, Gauges(self.use, len(self.running), self.links))
             self.server.settle(self.now)
         self.now = time
 
@@ -154,6 +155,8 @@
         elif verb == "busy":
             self.use = float(parts[1])
             self.until((time // TICK + 1) * TICK)
+        elif verb == "links":
+            self.links = float(parts[1])
         elif verb == "leave":
             self.server.leave(self.now, int(parts[1]) * 1000)
         elif verb in WORDS:
