--- /dev/null
+++ b/gullyoke/daemon/admit.py
@@ -0,0 +1,78 @@
+"""Admit: a message of a gateway becomes a req, is checked against those in hand, and handed to the decisions."""
+from __future__ import annotations
+
+import math
+
+from gullyoke.daemon import clock
+from gullyoke.daemon.desk import Desk, Taken
+from gullyoke.daemon.http import Message, Unfit
+
+PATH = "/call/"
+LONGEST = 24 * 3600 * 1000             # ms; no caller waits longer, and no stamp is older
+
+
+def number(fields: dict[str, str], name: str, default: float, most: float) -> float:
+    """A field's figure, 0 to `most`; guards against what is no number, or no possible one."""
+    text = fields.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value <= most:
+        raise Unfit(400, f"field {name}")
+    return value
+
+
+def stamp(fields: dict[str, str], name: str) -> int:
+    """How long ago, in microseconds, the time was that a field tells in Unix ms."""
+    text = fields.get(name)
+    if text is None:
+        return 0
+    if not (text.isascii() and text.isdigit() and len(text) < 16):
+        raise Unfit(400, f"field {name}")
+    return min(clock.since(int(text)), LONGEST * 1000)
+
+
+def made(desk: Desk, message: Message) -> Taken:
+    """The req that a message holds."""
+    method, path, _ = message.first
+    if not path.startswith(PATH):
+        raise Unfit(404, "path")
+    if method != "POST":
+        raise Unfit(405, "method")
+    handler = desk.handlers.get(path[len(PATH):])
+    if handler is None:
+        raise Unfit(404, "handler")
+    fields = message.fields
+    tid = fields.get("trace-id", "")
+    if len(tid) != 16 or not set(tid) <= set("0123456789abcdefABCDEF"):
+        raise Unfit(400, "field trace-id")
+    customer = fields.get("project")
+    if customer is not None and customer not in desk.customers:
+        raise Unfit(400, "field project")
+    arrived = clock.now() - stamp(fields, "accepted-at-ms")
+    wait = int(number(fields, "max-wait-ms", handler.timeout / 1000, LONGEST) * 1000)
+    key = fields.get("replay-key") or fields.get("lookup-key")
+    req = Taken(handler, arrived, arrived + wait, number(fields, "reserve-kb", 0.0, 2000.0),
+                fields.get("is-retry") == "1", None, key is not None, desk.customers.get(customer),
+                int(number(fields, "expected-ms", 0.0, LONGEST) * 1000), number(fields, "standing", 0.0, 1.0))
+    req.carry(tid, key, message.body)
+    return req
+
+
+def admit(desk: Desk, req: Taken) -> bool:
+    """Hand it to the decisions; False if none are there yet, or a req of this id is in hand."""
+
+    def read() -> None:
+        nonlocal known
+        known = desk.reqs.get(req.tid) is None
+        if known:
+            desk.reqs[req.tid] = req
+            _, req.prior = desk.repeats.find(req, desk.now)
+            desk.server.read(desk.now, req)
+
+    known = False
+    desk.handle(read, req)
+    return known
--- /dev/null
+++ b/gullyoke/daemon/book.py
@@ -0,0 +1,77 @@
+"""Book: what was taken in, sent and answered, counted; the log's form; the log never holds anybody up."""
+from __future__ import annotations
+
+import logging
+import logging.handlers
+import queue
+import sys
+import threading
+from collections import Counter
+
+
+class Book:
+    """Counters by dotted name. Table: one row a name; names are fixed in the code, so it stops growing by itself."""
+
+    def __init__(self) -> None:
+        self.rows: Counter[str] = Counter()
+        self.lock = threading.Lock()
+
+    def add(self, name: str, n: int = 1) -> None:
+        with self.lock:
+            self.rows[name] += n
+
+    def print(self, why: str) -> None:
+        with self.lock:
+            rows = sorted(self.rows.items())
+        log.info("counters", extra=pairs(why=why, **{name.replace(".", "_"): n for name, n in rows}))
+
+
+log = logging.getLogger("gullyoke")
+
+
+def pairs(**given: object) -> dict[str, object]:
+    """The pairs of a log line, under one name of their own: none of them can meet a name that logging uses."""
+    return {"pairs": given}
+
+
+class KeyValue(logging.Formatter):
+    """time=... level=... thread=... event="..." and the line's own pairs."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        row = {"time": f"{record.created:.3f}", "level": record.levelname.lower(), "thread": record.threadName,
+               "event": record.getMessage(), **getattr(record, "pairs", {})}
+        if record.exc_info:
+            row["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={quoted(str(value))}" for key, value in row.items())
+
+
+def quoted(text: str) -> str:
+    if text and not any(c in text for c in ' "=\\') and text.isprintable():
+        return text
+    text = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return '"' + "".join(c if c.isprintable() else "?" for c in text) + '"'
+
+
+class Bounded(logging.handlers.QueueHandler):
+    """Hands lines to the writing thread; a full queue drops them, since a log that is stuck must not stop reqs."""
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            pass
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        return record                                 # formatted by the writing thread, with its pairs
+
+
+def start_log(level: str) -> logging.handlers.QueueListener:
+    out = logging.StreamHandler(sys.stderr)
+    out.setFormatter(KeyValue())
+    lines: queue.Queue = queue.Queue(2000)
+    log.addHandler(Bounded(lines))
+    log.setLevel(level)
+    log.propagate = False
+    writer = logging.handlers.QueueListener(lines, out)
+    writer.start()
+    return writer
--- /dev/null
+++ b/gullyoke/daemon/desk.py
@@ -0,0 +1,122 @@
+"""The decisions behind their one lock, and the reqs in hand. Nothing blocks under the lock."""
+from __future__ import annotations
+
+import random
+import threading
+from collections import deque
+from collections.abc import Callable
+
+from gullyoke.choice import Server
+from gullyoke.daemon import clock
+from gullyoke.daemon.book import Book, log, pairs
+from gullyoke.daemon.repeats import Repeats
+from gullyoke.options import Facts
+from gullyoke.port import FAIL, Gauges, Req, Shed, Word
+
+
+class Taken(Req):
+    """A req with all that the sockets need of it. `gate` is let go when its answer is there."""
+    __slots__ = ("answer", "asked", "asking", "body", "entry", "gate", "key", "lane", "need", "noticed", "outcome",
+                 "tid")
+
+    def carry(self, tid: str, key: str | None, body: bytes) -> None:
+        self.tid, self.key, self.body = tid, key, body
+        self.answer = self.outcome = self.entry = self.asked = self.asking = None
+        self.need = self.noticed = self.lane = 0
+        self.gate = threading.Lock()
+        self.gate.acquire()
+
+
+class Desk:
+    """`handle` is the way in for everything that the decisions hear. Tables: `reqs` in hand, which leave at their
+    end; `later`, words that came of handling, told before the lock is let go; `notes`, log lines until then."""
+
+    def __init__(self, facts: Facts, seed: int, book: Book) -> None:
+        self.facts, self.seed, self.book = facts, seed, book
+        self.handlers = {h.name: h for h in facts.handlers}
+        self.customers = {c.name: c for c in facts.customers}
+        self.lock, self.answering = threading.Lock(), threading.Lock()
+        self.server: Server | None = None
+        self.reqs: dict[str, Taken] = {}
+        self.repeats = Repeats(facts.fleet.fresh_for)
+        self.later: deque[tuple[Taken, Word]] = deque()
+        self.notes: deque[str] = deque(maxlen=100)
+        self.now, self.stop_at = clock.now(), None
+        self.leaving = False
+
+    def open(self, door, began: int) -> None:
+        """Make the server of decisions, which started at `began`, once the engine has told how it stands."""
+        with self.lock:
+            f = self.facts
+            self.now = clock.now()
+            self.server = Server(began, door, random.Random(self.seed), f.handlers, f.customers, f.machine, f.limits,
+                                 f.below, f.permits, f.fleet)
+            if self.stop_at is not None:
+                self.server.leave(self.now, self.stop_at)
+
+    def handle(self, act: Callable[[], None], req: Taken | None = None, patience: float = -1) -> None:
+        """Let `act` call the decisions; then what that brought about, and their turns. `patience` with the lock."""
+        if not self.lock.acquire(timeout=patience):
+            return
+        try:
+            if self.server is not None:
+                self.now = clock.now()
+                self._try(act, req)
+                self._try(lambda: self.server.settle(self.now), None)
+                while self.later:
+                    late, word = self.later.popleft()
+                    self._try(lambda late=late, word=word: self.server.tell(self.now, late, word), late)
+                    self._try(lambda: self.server.settle(self.now), None)
+        finally:
+            self.lock.release()
+        while self.notes:
+            log.info(self.notes.popleft())
+
+    def _try(self, act: Callable[[], None], req: Taken | None) -> None:
+        """Guards against an error in the decisions: it costs its req an errored answer, and nobody else anything."""
+        try:
+            act()
+        except Exception:
+            self.book.add("faults.decisions")
+            log.exception("fault in the decisions", extra=pairs(req=req.tid if req else "-"))
+            if req is not None:
+                self.server.open.pop(req, None)
+                self.over(req)
+
+    def tell(self, req: Taken, word: Word) -> None:
+        self.handle(lambda: self.server.tell(self.now, req, word), req)
+
+    def gauges(self, got: dict[str, float]) -> None:
+        self.handle(lambda: self.server.gauges(
+            self.now, Gauges(got.get("core_use"), got.get("on_cores"), got.get("links"))))
+
+    def leave(self, stop_after: int) -> None:
+        self.leaving, self.stop_at = True, clock.now() + stop_after
+        self.handle(lambda: self.server.leave(self.now, self.stop_at))
+
+    def answer(self, req: Taken, outcome: object, body: bytes = b"") -> None:
+        """The one final answer: whatever comes after it is not heard. `outcome` is DONE, FAIL or a Shed."""
+        with self.answering:
+            if req.outcome is not None:
+                return
+            req.outcome, req.answer = outcome, body
+        req.gate.release()
+
+    def over(self, req: Taken) -> None:
+        """Its life has ended; if it got no answer on its way it errored."""
+        if self.reqs.pop(req.tid, None) is not None:
+            self.answer(req, FAIL)
+            if req.entry is not None:
+                for waiter in self.repeats.ended(req, None, self.now):
+                    self.later.append((waiter, Word.ERRORED))
+
+    def overdue(self, req: Taken) -> None:
+        """Its time is up and the decisions have not answered: heard once more, and errored by now."""
+        self.handle(lambda: self.server.tell(self.now, req, Word.LATE), req, 0.02)
+        self.book.add("answers.overdue")
+        self.answer(req, FAIL)
+
+
+def told_of(outcome: object) -> str:
+    """What the counters call an outcome."""
+    return "done" if outcome is Word.DONE else "shed" if isinstance(outcome, Shed) else "errored"
--- /dev/null
+++ b/gullyoke/daemon/ends.py
@@ -0,0 +1,59 @@
+"""Every way a connection can end, and what the decisions hear of it: one type, one table."""
+from __future__ import annotations
+
+from enum import Enum
+
+from gullyoke.port import Word
+
+
+class End(Enum):
+    """How a connection ended. The value is what the log and the counters call it."""
+    CLOSED = "closed"          # the peer closed it between two messages
+    CUT = "cut"                # the peer closed it within a message
+    RESET = "reset"            # it broke under reading or writing
+    REFUSED = "refused"        # it never came about, and the peer said so
+    UNREACHED = "unreached"    # it never came about, for any other cause
+    STALLED = "stalled"        # a message or its answer made no way for too long
+    GARBLED = "garbled"        # what came is not the protocol
+    IDLE = "idle"              # closed here: silent for long
+    DECLARED = "declared"      # closed here, or by the peer, as an answer or a req had said
+    LEAVING = "leaving"        # closed here at the end of the drain
+    FAULT = "fault"            # an error of our own
+
+
+class Peer(Enum):
+    GATEWAY = "gateway"
+    ENGINE = "engine"
+    DATABASE = "database"
+    NAMING = "naming"
+
+
+# What the decisions hear of each req that the connection carried then. A gateway's end is no word on its caller
+# unless the connection is broken or gone. Runs outlive a link to the engine, and the name service has no part in a req.
+UNRUN = {End.REFUSED, End.UNREACHED}
+GONE = {End.CLOSED, End.CUT, End.RESET}
+
+
+def outcome(peer: Peer, end: End) -> Word | None:
+    if peer is Peer.DATABASE:
+        return Word.CALL_UNRUN if end in UNRUN else Word.CALL_LOST
+    if peer is Peer.GATEWAY and end in GONE:
+        return Word.GONE
+    return None
+
+
+class Ended(Exception):
+    """Raised where a connection turns out to have ended."""
+
+    def __init__(self, end: End, why: str = "") -> None:
+        super().__init__(why or end.value)
+        self.end = end
+
+
+def end_of(fault: OSError) -> End:
+    """What an error of the operating system means for the connection it struck."""
+    if isinstance(fault, ConnectionRefusedError):
+        return End.REFUSED
+    if isinstance(fault, TimeoutError):
+        return End.STALLED
+    return End.RESET
--- /dev/null
+++ b/gullyoke/daemon/engine.py
@@ -0,0 +1,193 @@
+"""Send, to the engine: the link that is kept open, its commands, its notices, and attaching to it again."""
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections import deque
+from typing import NamedTuple
+
+from gullyoke.daemon import lines
+from gullyoke.daemon.book import Book, log, pairs
+from gullyoke.daemon.buffer import Buffer
+from gullyoke.daemon.ends import End, Ended, end_of
+from gullyoke.daemon.lines import command
+
+CONNECT = 1.0                          # seconds for a connection to come about
+PAUSES = (0.02, 1.0)                   # seconds before the next try: the first, and the longest
+
+
+class Sent(NamedTuple):
+    """A command, and how many notices on its req had been read when it was given."""
+    data: bytes
+    req: object = None
+    noticed: int = 0
+    tag: int = -1
+
+
+class Engine:
+    """Tables: `outbox`, commands not yet written; `sent`, written since the last gauges that were answered, which
+    prove that the engine read what was written before. Both hold a few commands for each req in hand."""
+
+    def __init__(self, address: tuple[str, int], gauges: tuple[str, ...], book: Book) -> None:
+        self.address, self.gauges, self.book, self.heard = address, gauges, book, None
+        self.bell = threading.Condition(threading.Lock())
+        self.outbox: deque[Sent] = deque()
+        self.sent: deque[Sent] = deque()
+        self.sock: socket.socket | None = None
+        self.last, self.marks, self.mark, self.attached = 0, 0, "", False
+
+    def start(self, heard) -> None:
+        self.heard = heard
+        threading.Thread(target=self.keep, name="engine-read", daemon=True).start()
+        threading.Thread(target=self.write, name="engine-write", daemon=True).start()
+
+    # Commands, given under the desk's lock.
+
+    def run(self, req) -> None:
+        self._give(req, command("RUN", req.tid, req.handler.name, body=req.body))
+
+    def feed(self, req, reply: bytes) -> None:
+        self._give(req, command("FEED", req.tid, body=reply))
+
+    def skip(self, req) -> None:
+        self._give(req, command("SKIP", req.tid, req.need))
+
+    def halt(self, req) -> None:
+        self._give(req, command("HALT", req.tid))
+
+    def stat(self, tag: int) -> None:
+        if self.attached:                             # without a link they would pile up
+            self._put(Sent(command("STAT", tag), tag=tag))
+
+    def _give(self, req, data: bytes) -> None:
+        self._put(Sent(data, req, req.noticed))
+
+    def _put(self, sent: Sent) -> None:
+        with self.bell:
+            self.outbox.append(sent)
+            self.bell.notify()
+
+    def write(self) -> None:
+        while True:
+            with self.bell:
+                while not (self.attached and self.outbox):
+                    self.bell.wait()
+                batch, sock = list(self.outbox), self.sock
+                self.outbox.clear()
+                self.sent.extend(batch)               # a send that breaks may have carried any part of it
+            try:
+                sock.sendall(b"".join(s.data for s in batch))
+                self.book.add("engine.commands", len(batch))
+            except OSError:
+                shut(sock)                            # the reading side tells how it ended
+
+    # Notices.
+
+    def keep(self) -> None:
+        """Attach, read until the link ends, and again, for as long as the process lives."""
+        pause = PAUSES[0]
+        while True:
+            try:
+                before = self.last
+                self.attach_and_read()
+                ended = Ended(End.CLOSED)
+            except Ended as fault:
+                ended = fault
+            except OSError as fault:
+                ended = Ended(end_of(fault) if self.sock else End.UNREACHED, str(fault))
+            except Exception:
+                self.book.add("faults.engine")
+                log.exception("fault in reading from the engine")
+                ended = Ended(End.FAULT)
+            with self.bell:
+                self.attached, sock, self.sock = False, self.sock, None
+            if sock is not None:
+                sock.close()
+            self.book.add(f"ends.engine.{ended.end.value}")
+            log.warning("link to the engine ended", extra=pairs(end=ended.end.value, why=ended))
+            pause = PAUSES[0] if self.last > before else min(2 * pause, PAUSES[1])
+            time.sleep(pause)
+
+    def attach_and_read(self) -> None:
+        sock = socket.create_connection(self.address, CONNECT)
+        sock.settimeout(None)                         # the engine may come up long after this server
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.mark = sock, ""
+        sock.sendall(command("ATTACH", self.last))
+        buffer = Buffer(sock, lines.BUFFER)
+        while (words := lines.read(buffer)) is not None:
+            self.notice(words, buffer)
+
+    def notice(self, words: list[str], buffer: Buffer) -> None:
+        kind, heard = words[0], self.heard
+        if kind == "HELLO" and len(words) == 3 and words[1] in ("cold", "warm"):
+            heard.hello(words[1], lines.whole(words[2]))
+            self.marks += 1                           # when this is answered, all notices missed have been read
+            self.mark = f"mark{self.marks}"
+            self.sock.sendall(command("STAT", self.mark))
+        elif kind == "DONE" and len(words) == 6 and words[3] in ("ok", "failed", "halted", "void"):
+            result = lines.content(buffer, words[5])
+            if self.new(words[1]):
+                heard.done(words[2], words[3], result)
+        elif kind == "NEED" and len(words) == 4:
+            body = lines.content(buffer, words[3])
+            if self.new(words[1]):
+                heard.need(words[2], self.last, body)
+        elif kind == "STATS" and len(words) == 2 + len(self.gauges):
+            if words[1] == self.mark:
+                self.reattached()
+            else:
+                self.confirmed(words[1])
+                heard.stats(words[1], {name: figure(x) for name, x in zip(self.gauges, words[2:], strict=True)})
+        elif kind == "NO" and len(words) == 3:
+            heard.not_done(words[1], words[2])
+        elif kind == "NOTE" and len(words) >= 2:
+            self.new(words[1])
+        else:
+            raise Ended(End.GARBLED, " ".join(words)[:100])
+
+    def new(self, number: str) -> bool:
+        """Whether this notice was not read before."""
+        n = lines.whole(number)
+        if n <= self.last:
+            return False
+        self.last = n
+        return True
+
+    def confirmed(self, tag: str) -> None:
+        with self.bell:
+            if any(str(s.tag) == tag for s in self.sent):
+                while str(self.sent.popleft().tag) != tag:
+                    pass
+
+    def reattached(self) -> None:
+        """What may have been lost with the last link is given once more, where no notice shows that it was read.
+
+        Guards against commands lost on a link that breaks. `RUN` may be repeated and `SKIP` names its notice. A `FEED`
+        might be doubled where its run goes on without a notice; the engine has no call waiting then.
+        """
+        with self.bell:
+            again = [s for s in self.sent if s.req is not None and s.noticed == s.req.noticed
+                     and s.req.tid in self.heard.desk.reqs]
+            self.sent.clear()
+            self.outbox.extendleft(reversed(again))
+            self.attached, self.mark = True, ""
+            self.bell.notify()
+        if again:
+            self.book.add("engine.repeated", len(again))
+
+
+def figure(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise Ended(End.GARBLED, f"gauge {text[:20]!r}") from None
+
+
+def shut(sock: socket.socket) -> None:
+    """End both directions, which wakes whoever waits on it."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
--- /dev/null
+++ b/gullyoke/daemon/gateways.py
@@ -0,0 +1,163 @@
+"""The gateways' connections: accepted, a thread each, closed when silent, stalled or at the end of the drain."""
+from __future__ import annotations
+
+import errno
+import socket
+import threading
+import time
+
+from gullyoke.daemon import clock, http
+from gullyoke.daemon.book import Book, log, pairs
+from gullyoke.daemon.buffer import Buffer
+from gullyoke.daemon.desk import Desk, Taken
+from gullyoke.daemon.ends import End, Ended, Peer, end_of, outcome
+from gullyoke.daemon.engine import shut
+from gullyoke.daemon.intake import Intake
+from gullyoke.daemon.route import Route
+
+STALL = 5_000_000                      # microseconds for a message to come whole, or an answer to be taken
+SPARE = 32                             # descriptors kept for all else
+BACKLOG = 1024
+IDLE, READING, WAITING, WRITING = "idle", "reading", "waiting", "writing"
+
+
+class Connection:
+    """One connection: what it does, since when, and the req on it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.state, self.since = sock, IDLE, clock.now()
+        self.req: Taken | None = None
+        self.closing: End | None = None               # why it is being closed here
+
+    def now(self, state: str) -> None:
+        self.state, self.since = state, clock.now()
+
+
+class Gateways:
+    """Table: `open`, the connections; each leaves at its end."""
+
+    def __init__(self, address: tuple[str, int], sockets: int, desk: Desk, route: Route, book: Book) -> None:
+        self.most, self.desk, self.route, self.book = sockets - SPARE, desk, route, book
+        self.intake = Intake(desk, route, book)
+        self.open: dict[Connection, None] = {}
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.last = False                             # near the stop: answers say that the connection closes
+
+    def start(self) -> None:
+        threading.Thread(target=self.accept, name="accept", daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as fault:
+                if self.last or fault.errno in (errno.EBADF, errno.EINVAL):
+                    return                            # closed at the end of the drain
+                # Guards against running out of descriptors or memory: what waits stays in the backlog a moment.
+                self.book.add("accept.failed")
+                log.warning("accept failed", extra=pairs(why=fault))
+                time.sleep(0.02)
+                continue
+            self.take(sock)
+
+    def take(self, sock: socket.socket) -> None:
+        conn = Connection(sock)
+        self.book.add("connections.opened")
+        self.open[conn] = None
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if len(self.open) > self.most:
+                self.make_room()
+            threading.Thread(target=self.serve, args=(conn,), name="gateway", daemon=True).start()
+        except (OSError, RuntimeError) as fault:      # no thread to be had, or gone already
+            log.warning("connection not served", extra=pairs(why=fault))
+            self.ended(conn, End.FAULT, str(fault))
+
+    def make_room(self) -> None:
+        """Too many at once: the one longest idle goes."""
+        idle = [c for c in list(self.open) if c.state is IDLE and c.closing is None]
+        if idle:
+            self.close_idle(min(idle, key=lambda c: c.since), End.IDLE)
+
+    def serve(self, conn: Connection) -> None:
+        why = ""
+        try:
+            end = self.exchange(conn, Buffer(conn.sock, http.BUFFER))
+        except Ended as fault:
+            end, why = fault.end, str(fault)
+        except OSError as fault:
+            end, why = end_of(fault), str(fault)
+        except Exception:
+            self.book.add("faults.gateway")
+            log.exception("fault in serving a connection")
+            end = End.FAULT
+        self.ended(conn, conn.closing or end, why)
+
+    def exchange(self, conn: Connection, buffer: Buffer) -> End:
+        """One message after another, until a side ends it."""
+        while True:
+            conn.now(IDLE)
+            try:
+                message = http.read(buffer, lambda: conn.now(READING))
+                if message is None:
+                    return End.CLOSED
+                said, close = self.intake.take(message, conn)
+            except http.Unfit as fault:
+                self.book.add(f"unfit.{fault.status}")
+                log.warning("message refused", extra=pairs(status=fault.status, why=fault))
+                said, close = http.answer(fault.status, close=True), True
+            conn.now(WRITING)
+            conn.sock.sendall(said)
+            conn.req = None
+            if close:
+                return End.DECLARED
+
+    def ended(self, conn: Connection, end: End, why: str) -> None:
+        self.open.pop(conn, None)
+        self.book.add(f"ends.gateway.{end.value}")
+        if end in (End.GARBLED, End.STALLED, End.CUT):
+            log.warning("connection of a gateway ended", extra=pairs(end=end.value, why=why))
+        word = outcome(Peer.GATEWAY, end)
+        if conn.req is not None and word is not None:
+            self.desk.tell(conn.req, word)
+        shut(conn.sock)
+        conn.sock.close()
+
+    # From the timer.
+
+    def sweep(self) -> None:
+        """Silent connections are closed; so are those that a peer holds up."""
+        now, span = clock.now(), self.route.idle_span
+        for conn in list(self.open):
+            spent = now - conn.since
+            if conn.closing is not None:
+                continue
+            if conn.state is IDLE and (self.last or span and spent > span):
+                self.close_idle(conn, End.LEAVING if self.last else End.IDLE)
+            elif conn.state in (READING, WRITING) and spent > STALL:
+                conn.closing = End.STALLED
+                shut(conn.sock)
+
+    def close_idle(self, conn: Connection, end: End) -> None:
+        """Its thread wakes and finds the end, but only after whatever has come by then: that is read and answered."""
+        conn.closing = end
+        try:
+            conn.sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass
+
+    def leave(self) -> None:
+        """The end of the drain: take what waits in the backlog, then no more; answers close their connections."""
+        self.last = True
+        self.listener.setblocking(False)
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                break
+            sock.setblocking(True)
+            self.take(sock)
+        self.listener.close()
--- /dev/null
+++ b/gullyoke/daemon/house.py
@@ -0,0 +1,90 @@
+"""The whole server: its parts put together, its start, its notice to leave and its end."""
+from __future__ import annotations
+
+import gc
+import random
+import signal
+import sys
+import threading
+import time
+
+from gullyoke.daemon import clock
+from gullyoke.daemon.book import Book, log, pairs, start_log
+from gullyoke.daemon.database import Database
+from gullyoke.daemon.desk import Desk
+from gullyoke.daemon.engine import Engine
+from gullyoke.daemon.gateways import Gateways
+from gullyoke.daemon.naming import Naming
+from gullyoke.daemon.options import Told
+from gullyoke.daemon.relay import Relay
+from gullyoke.daemon.route import Route
+from gullyoke.daemon.timer import Timer
+
+STACK = 256 * 1024                     # bytes of stack for each thread
+SWEEP = 100_000                        # microseconds between looks at the connections
+LAST = 200_000                         # before the stop: no connection is taken any more
+
+
+class House:
+    def __init__(self, told: Told) -> None:
+        threading.stack_size(STACK)
+        sys.setswitchinterval(0.001)                  # a thread that solves holds up an answer this long at most
+        self.told, self.book = told, Book()
+        self.logging = start_log(told.level)
+        self.timer = Timer(self.fault)
+        self.desk = Desk(told.facts, told.seed, self.book)
+        self.engine = Engine(told.engine, told.facts.machine.gauges, self.book)
+        self.database = Database(told.database, self.timer, self.book)
+        self.route = Route(self.desk, self.engine, self.database, self.timer)
+        self.relay = Relay(self.desk, self.route, self.book)
+        self.gateways = Gateways(told.listen, told.sockets, self.desk, self.route, self.book)
+        self.naming = Naming(told.naming, told.name, lambda: self.route.good, random.Random(told.seed), self.book)
+        self.signals: list[int] = []
+        self.bell = threading.Event()
+
+    def run(self) -> int:
+        """Serve until the notice to leave, and to the end of the drain."""
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+            signal.signal(number, self.signal)
+        self.timer.start()
+        self.engine.start(self.relay)
+        self.database.start(self.relay)
+        self.timer.at(clock.now() + SWEEP, self.sweep)
+        self.gateways.start()
+        self.naming.start()
+        log.info("started", extra=pairs(name=self.told.name, listen="%s:%d" % self.told.listen))
+        gc.freeze()                                   # what is there now stays; later passes need not look at it
+        while True:
+            self.bell.wait()
+            self.bell.clear()
+            while self.signals:
+                if self.signals.pop(0) != signal.SIGUSR1:
+                    return self.leave()
+                self.book.print("asked")
+
+    def signal(self, number: int, frame: object) -> None:
+        self.signals.append(number)
+        self.bell.set()
+
+    def leave(self) -> int:
+        """The drain: all that comes is still read and answered; at its end no connection is left unread."""
+        log.info("leaving", extra=pairs(stop_ms=self.told.stop // 1000, in_hand=len(self.desk.reqs)))
+        self.desk.leave(self.told.stop)
+        stop = self.desk.stop_at
+        time.sleep(max(0.0, (stop - LAST - clock.now()) / 1e6))
+        self.gateways.intake.closing = True
+        self.gateways.leave()
+        while self.gateways.open and clock.now() < stop - LAST // 10:
+            time.sleep(0.005)
+        log.info("left", extra=pairs(in_hand=len(self.desk.reqs), connections=len(self.gateways.open)))
+        self.book.print("exit")
+        self.logging.stop()
+        return 0
+
+    def sweep(self) -> None:
+        self.timer.at(clock.now() + SWEEP, self.sweep)
+        self.gateways.sweep()
+
+    def fault(self, where: str) -> None:
+        self.book.add(f"faults.{where}")
+        log.exception("fault", extra=pairs(where=where))
--- /dev/null
+++ b/gullyoke/daemon/http.py
@@ -0,0 +1,79 @@
+"""HTTP/1.1 messages as the gateways and the name service use them: one at a time, bodies by length."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gullyoke.daemon.buffer import Buffer
+from gullyoke.daemon.ends import End, Ended
+
+HEAD, BODY = 8192, 65536               # the longest that are read, in bytes
+BUFFER = HEAD + BODY
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
+           413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+           501: "Not Implemented", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+
+class Unfit(Exception):
+    """A message that is answered with a plain status and a close."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Message(NamedTuple):
+    """A first line in its three parts, the fields by their names in lower case, and the body."""
+    first: tuple[str, str, str]
+    fields: dict[str, str]
+    body: bytes
+
+    def closes(self) -> bool:
+        """Whether the peer wants the connection closed after this."""
+        return "close" in self.fields.get("connection", "").lower()
+
+
+def read(buffer: Buffer, begun: Callable[[], None] = lambda: None) -> Message | None:
+    """The next message, waiting for it; None when the peer closed before its first byte. `begun` is called at that.
+
+    Guards against heads without end, lengths that lie and bodies in pieces: nothing is read beyond the bounds.
+    """
+    if not len(buffer) and not buffer.fill():
+        return None
+    begun()
+    while (head := buffer.until(b"\r\n\r\n", HEAD)) is None:
+        more(buffer)
+    lines = head.decode("latin-1").split("\r\n")[:-2]
+    first = tuple(lines[0].split(" ", 2))
+    if len(first) != 3:
+        raise Unfit(400, "first line")
+    fields: dict[str, str] = {}
+    for line in lines[1:]:
+        name, mark, value = line.partition(":")
+        name = name.lower()
+        if not mark or not name or name != name.strip():
+            raise Unfit(400, "field")
+        if name in fields and fields[name] != value.strip():
+            raise Unfit(400, f"two values of {name}")
+        fields[name] = value.strip()
+    if "transfer-encoding" in fields:
+        raise Unfit(501, "transfer coding")
+    text = fields.get("content-length", "0")
+    if not (text.isascii() and text.isdigit()):
+        raise Unfit(400, "content length")
+    if len(text) > 9 or int(text) > BODY:
+        raise Unfit(413, "body too long")
+    while (body := buffer.take(int(text))) is None:
+        more(buffer)
+    return Message(first, fields, body)
+
+
+def more(buffer: Buffer) -> None:
+    if not buffer.fill():
+        raise Ended(End.CUT)
+
+
+def answer(status: int, body: bytes = b"", fields: str = "", close: bool = False) -> bytes:
+    """A whole answer, to be written at once."""
+    head = f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}\r\nContent-Length: {len(body)}\r\n{fields}"
+    return (head + ("Connection: close\r\n\r\n" if close else "\r\n")).encode("latin-1") + body
--- /dev/null
+++ b/gullyoke/daemon/naming.py
@@ -0,0 +1,61 @@
+"""Reports to the name service, so that gateways learn of this server. Its absence touches nothing else."""
+from __future__ import annotations
+
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from gullyoke.daemon import http
+from gullyoke.daemon.book import Book, log, pairs
+from gullyoke.daemon.buffer import Buffer
+from gullyoke.daemon.ends import End, Ended, end_of
+
+EVERY, LIMIT = 0.8, 0.5                # seconds between reports, and for each; an entry lapses after 3
+PAUSES = (0.1, 0.8)                    # before the next try after a failure: the first, and the longest
+
+
+class Naming(threading.Thread):
+    def __init__(self, address: tuple[str, int], name: str, good: Callable[[], bool], chance: random.Random,
+                 book: Book) -> None:
+        super().__init__(name="naming", daemon=True)
+        self.address, self.path, self.good, self.book = address, f"/ns/hosts/{name}", good, book
+        self.chance, self.sock, self.buffer = chance.uniform, None, None
+
+    def run(self) -> None:
+        pause = PAUSES[0]
+        while True:
+            try:
+                self.report()
+                pause, wait = PAUSES[0], EVERY
+            except (Ended, OSError, http.Unfit) as fault:
+                end = getattr(fault, "end", None) or (end_of(fault) if isinstance(fault, OSError) else End.GARBLED)
+                self.close()
+                self.book.add(f"ends.naming.{end.value}")
+                log.warning("report to the name service failed", extra=pairs(end=end.value, why=fault))
+                wait, pause = pause, min(2 * pause, PAUSES[1])
+            time.sleep(wait * self.chance(0.8, 1.0))
+
+    def report(self) -> None:
+        if self.sock is None:
+            self.sock = socket.create_connection(self.address, LIMIT)
+            self.sock.settimeout(LIMIT)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.buffer = Buffer(self.sock, http.BUFFER)
+        body = b'{"serving":"yes"}' if self.good() else b'{"serving":"no"}'
+        head = f"PUT {self.path} HTTP/1.1\r\nHost: naming\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.sock.sendall(head.encode("latin-1") + body)
+        said = http.read(self.buffer)
+        if said is None:
+            raise Ended(End.CLOSED)
+        if said.first[1] != "204":
+            raise Ended(End.GARBLED, f"answered {said.first[1][:20]}")
+        self.book.add("naming.reports")
+        if said.closes():
+            self.close()
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
--- /dev/null
+++ b/gullyoke/daemon/options.py
@@ -0,0 +1,92 @@
+"""The one place where the server's own configuration is read, checked and given defaults."""
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from gullyoke.options import Facts, Misstated, facts_of, flat
+
+Address = tuple[str, int]
+
+
+class Told(NamedTuple):
+    """What this server is told at its start."""
+    name: str
+    listen: Address
+    engine: Address
+    naming: Address
+    database: Address
+    seed: int
+    stop: int                # microseconds from the notice to leave to the stop
+    sockets: int
+    facts: Facts
+    level: str
+
+
+def told(env: Mapping[str, str]) -> Told:
+    """From the environment and the file that it names. NODE_NAME and NODE_LISTEN stand over the file's."""
+    path = env.get("NODE_CONFIG")
+    if not path:
+        raise Misstated("missing environment variable 'NODE_CONFIG'")
+    try:
+        with open(path, encoding="utf-8") as file:
+            found = json.load(file)
+    except (OSError, ValueError) as fault:
+        raise Misstated(f"NODE_CONFIG: {path} can't be read: {fault}") from None
+    if not isinstance(found, dict):
+        raise Misstated(f"NODE_CONFIG: {path} holds no object")
+    found = found | {key: env[name] for key, name in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"))
+                     if env.get(name)}
+    limits = part(found, "limits", {})
+    level = env.get("GULLYOKE_LOG", "INFO").upper()
+    if level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+        raise Misstated(f"environment variable 'GULLYOKE_LOG' is {level!r}, not a level of the logging module")
+    return Told(
+        word(found, "name"), address(found, "listen"), address(found, "engine"), address(found, "naming"),
+        address(found, "db"), seed(found), whole(found, "stop_ms", 1) * 1000,
+        whole(limits, "limits.sockets", 32, 1024), facts_of(flat(part(found, "settings"))), level)
+
+
+def get(found: dict, key: str, default: object = None) -> object:
+    value = found.get(key.rsplit(".", 1)[-1], default)
+    if value is None:
+        raise Misstated(f"missing key '{key}'")
+    return value
+
+
+def part(found: dict, key: str, default: dict | None = None) -> dict:
+    value = get(found, key, default)
+    if not isinstance(value, dict):
+        raise Misstated(f"key '{key}' is {value!r}, not an object")
+    return value
+
+
+def word(found: dict, key: str) -> str:
+    value = get(found, key)
+    if not isinstance(value, str) or not value or not value.isprintable() or set(value) & set(" /?#%"):
+        raise Misstated(f"key '{key}' is {value!r}, not a name")
+    return value
+
+
+def whole(found: dict, key: str, least: int, default: int | None = None) -> int:
+    value = get(found, key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value != int(value) or value < least:
+        raise Misstated(f"key '{key}' is {value!r}, not a whole number from {least} on")
+    return int(value)
+
+
+def seed(found: dict) -> int:
+    value = get(found, "seed")
+    try:
+        return value if isinstance(value, int) else int(str(value), 16)
+    except ValueError:
+        raise Misstated(f"key 'seed' is {value!r}, not hex digits") from None
+
+
+def address(found: dict, key: str) -> Address:
+    value = get(found, key)
+    host, _, port = str(value).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise Misstated(f"key '{key}' is {value!r}, not an address such as 127.0.0.1:7001")
+    return host, int(port)
--- /dev/null
+++ b/gullyoke/daemon/repeats.py
@@ -0,0 +1,78 @@
+"""The table of kept reqs: by which a repeat is known, and from whose results it is answered."""
+from __future__ import annotations
+
+from gullyoke.port import PAST, Handler, Kind
+
+RESULTS = 16 * 2**20                   # bytes of results that are kept at most
+
+
+class Entry:
+    """A kept req. `holder` is the req in hand, or None when it is over; `result` is None if it didn't end well."""
+    __slots__ = ("ended", "holder", "result", "until", "waiting")
+
+    def __init__(self, holder, until: int) -> None:
+        self.holder, self.until, self.ended = holder, until, 0
+        self.result: bytes | None = None
+        self.waiting: list = []        # repeats to be answered from it
+
+
+class Repeats:
+    """Table: one entry for each handler and key that the decisions keep; gone at its time or when forgotten."""
+
+    def __init__(self, fresh_for: int) -> None:
+        self.fresh_for, self.bytes = fresh_for, 0
+        self.entries: dict[tuple[Handler, str], Entry] = {}
+
+    def find(self, req, now: int):
+        """The entry that this req repeats, if it came while that was alive, and what the decisions know of it."""
+        entry = self.entries.get((req.handler, req.key)) if req.key else None
+        if entry is None or req.arrived > entry.until:
+            return None, None
+        if entry.holder is not None:
+            return entry, entry.holder
+        if req.handler.kind is Kind.REPLAYABLE and (entry.result is None or now > entry.ended + self.fresh_for):
+            return None, None
+        return entry, PAST
+
+    def keep(self, req, until: int) -> None:
+        """Also refreshes: a newer try takes the place of its entry's holder."""
+        if req.key:
+            self.forget(req)
+            old = self.entries.pop((req.handler, req.key), None)
+            if old is not None:
+                self._drop(old)
+            req.entry = self.entries[req.handler, req.key] = Entry(req, until)
+
+    def forget(self, req) -> list:
+        """Take its entry out; who waited for it is handed back."""
+        entry, req.entry = req.entry, None
+        if entry is None:
+            return []
+        if self.entries.get((req.handler, req.key)) is entry:
+            del self.entries[req.handler, req.key]
+        self._drop(entry)
+        return entry.waiting
+
+    def ended(self, req, result: bytes | None, now: int) -> list:
+        """Its run is over: note how; who waits for it is handed back."""
+        entry = req.entry
+        if entry is None or entry.holder is None:
+            return []
+        entry.holder, entry.ended = None, now
+        if result is not None and self.bytes + len(result) <= RESULTS:
+            entry.result = result
+            self.bytes += len(result)
+        waiting, entry.waiting = entry.waiting, []
+        return waiting
+
+    def expire(self, now: int) -> None:
+        """An entry outlives its time by that of a caller: repeats that came within it may still be unread."""
+        for key, entry in list(self.entries.items()):
+            if entry.holder is None and entry.until + key[0].timeout < now:
+                del self.entries[key]
+                self._drop(entry)
+
+    def _drop(self, entry: Entry) -> None:
+        if entry.result is not None:
+            self.bytes -= len(entry.result)
+            entry.result = None
--- /dev/null
+++ b/gullyoke/daemon/route.py
@@ -0,0 +1,84 @@
+"""Route: each command of the decisions goes to whoever carries it out. The port's Door; only queues are touched."""
+from __future__ import annotations
+
+from gullyoke.daemon.database import Database
+from gullyoke.daemon.desk import Desk, Taken
+from gullyoke.daemon.engine import Engine
+from gullyoke.daemon.timer import Timer
+from gullyoke.port import FAIL, FORGET, REUSE, RUN, SKIP, STOP, Call, Command, Keep, Shed, Word
+
+STATS_WAIT = 30_000                    # how long a wake-up waits for the engine's gauges, in microseconds
+
+
+class Route:
+    """The door of one server of decisions. All of it is called under the desk's lock."""
+
+    def __init__(self, desk: Desk, engine: Engine, database: Database, timer: Timer) -> None:
+        self.desk, self.engine, self.database, self.timer = desk, engine, database, timer
+        self.good, self.idle_span, self.level = True, desk.facts.permits.longest_idle, None
+        self.awaited = 0               # the wake-up that is out; one at a time
+
+    def do(self, req: Taken, command: Command) -> None:
+        desk, engine = self.desk, self.engine
+        if command is RUN:
+            engine.run(req)
+        elif command is SKIP:
+            engine.skip(req)
+        elif command is STOP:
+            engine.halt(req)
+        elif command is FAIL or isinstance(command, Shed):
+            desk.answer(req, command)
+        elif isinstance(command, Call):
+            self.database.ask(req, command.try_for)
+        elif isinstance(command, Keep):
+            desk.repeats.keep(req, desk.now + command.span)
+        elif command is FORGET:
+            desk.later.extend((waiter, Word.ERRORED) for waiter in desk.repeats.forget(req))
+        elif command is REUSE:
+            self.reuse(req)
+
+    def reuse(self, req: Taken) -> None:
+        entry, _ = self.desk.repeats.find(req, self.desk.now)
+        if entry is not None and entry.holder is not None:
+            entry.waiting.append(req)
+        elif entry is not None and entry.result is not None:
+            self.desk.answer(req, Word.DONE, entry.result)
+            self.desk.later.append((req, Word.DONE))
+        else:
+            self.desk.later.append((req, Word.ERRORED))
+
+    def over(self, req: Taken) -> None:
+        if req.asked is not None:
+            self.database.drop(req)
+        self.desk.over(req)
+
+    def wake(self, after: int) -> None:
+        self.timer.at(self.desk.now + after, self.ask)
+
+    def health(self, good: bool, cheap: bool) -> None:
+        self.good = good
+
+    def stamp(self, level: float) -> None:
+        self.level = level
+
+    def idle(self, span: int) -> None:
+        self.idle_span = span or self.desk.facts.permits.longest_idle
+
+    def log(self, text: str) -> None:
+        self.desk.notes.append(text)
+
+    # The wake-up: the engine's gauges first, or none if they don't come soon.
+
+    def ask(self) -> None:
+        self.awaited += 1
+        tag = self.awaited
+        self.engine.stat(tag)
+        self.timer.at(self.desk.now + STATS_WAIT, lambda: self.woken(tag, {}))
+
+    def woken(self, tag: int, got: dict[str, float]) -> None:
+        with self.desk.lock:
+            if tag != self.awaited:
+                return
+            self.awaited += 1
+            self.desk.repeats.expire(self.desk.now)
+        self.desk.gauges(got)
--- /dev/null
+++ b/gullyoke/daemon/timer.py
@@ -0,0 +1,36 @@
+"""One thread for all that is due at a time: the decisions' wake-up, limits of calls, the sweep of connections."""
+from __future__ import annotations
+
+import heapq
+import itertools
+import threading
+from collections.abc import Callable
+
+from gullyoke.daemon import clock
+
+
+class Timer(threading.Thread):
+    """Acts in order of their times. Table: the heap, which an act leaves when due; the acts are wake-ups, one each
+    for few kinds of work, and one for each call that is out."""
+
+    def __init__(self, fault: Callable[[str], None]) -> None:
+        super().__init__(name="timer", daemon=True)
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.bell, self.count, self.fault = threading.Condition(threading.Lock()), itertools.count(), fault
+
+    def at(self, time: int, act: Callable[[], None]) -> None:
+        with self.bell:
+            heapq.heappush(self.heap, (time, next(self.count), act))
+            if self.heap[0][2] is act:
+                self.bell.notify()
+
+    def run(self) -> None:
+        while True:
+            with self.bell:
+                while not self.heap or self.heap[0][0] > clock.now():
+                    self.bell.wait((self.heap[0][0] - clock.now()) / 1e6 if self.heap else None)
+                act = heapq.heappop(self.heap)[2]
+            try:
+                act()
+            except Exception:                         # one fault must not end all later wake-ups
+                self.fault("timer")
--- a/gullyoke/drill/batches.py
+++ b/gullyoke/drill/batches.py
@@ -7,7 +7,7 @@
 from typing import TextIO
 
 from gullyoke.choice import Server
-from gullyoke.drill.options import Facts, facts_of
+from gullyoke.options import Facts, facts_of
 from gullyoke.port import PAST, Call, Gauges, Keep, Req, Shed, Word
 
 RUN_ENDS = {"200": Word.DONE, "500": Word.ERRORED, "499": Word.STOPPED, "410": Word.MOOT}
