--- a/gullyoke/__main__.py
+++ b/gullyoke/__main__.py
@@ -1,4 +1,4 @@
-"""The real server: `python -m gullyoke`. Everything it needs to know is in the environment and the file named there."""
+"""The real server: `python -m gullyoke`. What it must know is in the environment and the file named there."""
 import os
 import sys
 
--- a/gullyoke/daemon/admit.py
+++ b/gullyoke/daemon/admit.py
@@ -1,4 +1,4 @@
-"""Admit: a message of a gateway becomes a req, is checked against those in hand, and handed to the decisions."""
+"""Admit: a message of a gateway becomes a req, is checked and handed to the decisions."""
 from __future__ import annotations
 
 import math
--- a/gullyoke/daemon/book.py
+++ b/gullyoke/daemon/book.py
@@ -10,7 +10,7 @@
 
 
 class Book:
-    """Counters by dotted name. Table: one row a name; names are fixed in the code, so it stops growing by itself."""
+    """Counters by dotted name. Table: one row a name; the names are fixed in the code."""
 
     def __init__(self) -> None:
         self.rows: Counter[str] = Counter()
@@ -30,7 +30,7 @@
 
 
 def pairs(**given: object) -> dict[str, object]:
-    """The pairs of a log line, under one name of their own: none of them can meet a name that logging uses."""
+    """The pairs of a log line, under one name of their own: none of them can meet one that logging uses."""
     return {"pairs": given}
 
 
@@ -38,8 +38,8 @@
     """time=... level=... thread=... event="..." and the line's own pairs."""
 
     def format(self, record: logging.LogRecord) -> str:
-        row = {"time": f"{record.created:.3f}", "level": record.levelname.lower(), "thread": record.threadName,
-               "event": record.getMessage(), **getattr(record, "pairs", {})}
+        row = {"time": f"{record.created:.3f}", "level": record.levelname.lower(),
+               "thread": record.threadName, "event": record.getMessage(), **getattr(record, "pairs", {})}
         if record.exc_info:
             row["trace"] = self.formatException(record.exc_info)
         return " ".join(f"{key}={quoted(str(value))}" for key, value in row.items())
@@ -53,7 +53,7 @@
 
 
 class Bounded(logging.handlers.QueueHandler):
-    """Hands lines to the writing thread; a full queue drops them, since a log that is stuck must not stop reqs."""
+    """Hands lines to the writing thread; a full queue drops them: a log that is stuck must not stop reqs."""
 
     def enqueue(self, record: logging.LogRecord) -> None:
         try:
--- a/gullyoke/daemon/database.py
+++ b/gullyoke/daemon/database.py
@@ -1,4 +1,4 @@
-"""Send, to the database: many calls on a connection, replies in any order, limits kept here, opened when needed."""
+"""Send, to the database: many calls on a connection, replies in any order, limits kept here."""
 from __future__ import annotations
 
 import socket
@@ -30,7 +30,7 @@
 
 
 class Wire:
-    """A connection and the calls it carries, by id. Table: a call leaves it at its reply, its limit or its end."""
+    """A connection and the calls it carries, by id. A call leaves the table at its reply, limit or end."""
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.used, self.open = sock, clock.now(), True
@@ -38,10 +38,11 @@
 
 
 class Database:
-    """Two lanes, each one connection at most. A req whose call was given up makes its next one on the other lane.
+    """Two lanes, each one connection at most, opened when needed. A req whose call was given up makes the
+    next on the other.
 
-    Guards against a reply to a call given up, met on its way by the next call for the same req: replies bear the
-    req's id alone. Table: `outbox`, a call or a withdrawal for each req at a call.
+    Guards against a reply to a call given up that meets the next call for the same req on its way: replies
+    bear the req's id alone. Table: `outbox`, a call or a withdrawal for each req at a call.
     """
 
     def __init__(self, address: tuple[str, int], timer: Timer, book: Book) -> None:
@@ -110,7 +111,7 @@
                 lane = self.outbox[0][0]
             wire = self.lanes[lane]
             if wire is not None and not wire.calls and clock.now() - wire.used > SILENT:
-                shut(wire.sock)                       # about to be closed for silence: a call could cross that
+                shut(wire.sock)                       # soon closed for silence: a call could cross that
                 wire.open = False
             if wire is None or not wire.open:
                 wire = self.lanes[lane] = self.opened(lane)
@@ -188,7 +189,8 @@
     def ended(self, end: End, why: str, calls: list[Asked]) -> None:
         self.book.add(f"ends.database.{end.value}")
         if calls or end is not End.CLOSED:
-            log.warning("connection to the database ended", extra=pairs(end=end.value, why=why, calls=len(calls)))
+            log.warning("connection to the database ended",
+                        extra=pairs(end=end.value, why=why, calls=len(calls)))
         for asked in calls:
             if self._ended(asked):
                 self.heard.called(asked.req, outcome(Peer.DATABASE, end), b"")
--- a/gullyoke/daemon/desk.py
+++ b/gullyoke/daemon/desk.py
@@ -16,8 +16,8 @@
 
 class Taken(Req):
     """A req with all that the sockets need of it. `gate` is let go when its answer is there."""
-    __slots__ = ("answer", "asked", "asking", "body", "entry", "gate", "key", "lane", "need", "noticed", "outcome",
-                 "tid")
+    __slots__ = ("answer", "asked", "asking", "body", "entry", "gate", "key", "lane", "need", "noticed",
+                 "outcome", "tid")
 
     def carry(self, tid: str, key: str | None, body: bytes) -> None:
         self.tid, self.key, self.body = tid, key, body
@@ -28,8 +28,8 @@
 
 
 class Desk:
-    """`handle` is the way in for everything that the decisions hear. Tables: `reqs` in hand, which leave at their
-    end; `later`, words that came of handling, told before the lock is let go; `notes`, log lines until then."""
+    """`handle` is the way in for everything that the decisions hear. Tables: `reqs` in hand, which leave at
+    their end; `later`, words that came of handling, told before the lock is let go; `notes`, log lines."""
 
     def __init__(self, facts: Facts, seed: int, book: Book) -> None:
         self.facts, self.seed, self.book = facts, seed, book
@@ -49,13 +49,13 @@
         with self.lock:
             f = self.facts
             self.now = clock.now()
-            self.server = Server(began, door, random.Random(self.seed), f.handlers, f.customers, f.machine, f.limits,
-                                 f.below, f.permits, f.fleet)
+            self.server = Server(began, door, random.Random(self.seed), f.handlers, f.customers, f.machine,
+                                 f.limits, f.below, f.permits, f.fleet)
             if self.stop_at is not None:
                 self.server.leave(self.now, self.stop_at)
 
     def handle(self, act: Callable[[], None], req: Taken | None = None, patience: float = -1) -> None:
-        """Let `act` call the decisions; then what that brought about, and their turns. `patience` with the lock."""
+        """Let `act` call the decisions; then what came of it, and their turns. `patience` with the lock."""
         if not self.lock.acquire(timeout=patience):
             return
         try:
@@ -73,7 +73,7 @@
             log.info(self.notes.popleft())
 
     def _try(self, act: Callable[[], None], req: Taken | None) -> None:
-        """Guards against an error in the decisions: it costs its req an errored answer, and nobody else anything."""
+        """Guards against an error in the decisions: it costs its own req an errored answer."""
         try:
             act()
         except Exception:
--- a/gullyoke/daemon/ends.py
+++ b/gullyoke/daemon/ends.py
@@ -28,8 +28,9 @@
     NAMING = "naming"
 
 
-# What the decisions hear of each req that the connection carried then. A gateway's end is no word on its caller
-# unless the connection is broken or gone. Runs outlive a link to the engine, and the name service has no part in a req.
+# What the decisions hear of each req that the connection carried then. A gateway's end is no word on its
+# caller unless the connection is broken or gone. Runs outlive a link to the engine; the name service has no
+# part in a req.
 UNRUN = {End.REFUSED, End.UNREACHED}
 GONE = {End.CLOSED, End.CUT, End.RESET}
 
--- a/gullyoke/daemon/engine.py
+++ b/gullyoke/daemon/engine.py
@@ -26,8 +26,8 @@
 
 
 class Engine:
-    """Tables: `outbox`, commands not yet written; `sent`, written since the last gauges that were answered, which
-    prove that the engine read what was written before. Both hold a few commands for each req in hand."""
+    """Tables: `outbox`, commands not yet written; `sent`, written since the last gauges that were answered,
+    which prove that the engine read what was written before. Both hold a few for each req in hand."""
 
     def __init__(self, address: tuple[str, int], gauges: tuple[str, ...], book: Book) -> None:
         self.address, self.gauges, self.book, self.heard = address, gauges, book, None
@@ -123,7 +123,7 @@
         kind, heard = words[0], self.heard
         if kind == "HELLO" and len(words) == 3 and words[1] in ("cold", "warm"):
             heard.hello(words[1], lines.whole(words[2]))
-            self.marks += 1                           # when this is answered, all notices missed have been read
+            self.marks += 1                           # once it is answered, all notices missed have been read
             self.mark = f"mark{self.marks}"
             self.sock.sendall(command("STAT", self.mark))
         elif kind == "DONE" and len(words) == 6 and words[3] in ("ok", "failed", "halted", "void"):
@@ -139,7 +139,7 @@
                 self.reattached()
             else:
                 self.confirmed(words[1])
-                heard.stats(words[1], {name: figure(x) for name, x in zip(self.gauges, words[2:], strict=True)})
+                heard.stats(words[1], dict(zip(self.gauges, map(figure, words[2:]), strict=True)))
         elif kind == "NO" and len(words) == 3:
             heard.not_done(words[1], words[2])
         elif kind == "NOTE" and len(words) >= 2:
@@ -162,10 +162,10 @@
                     pass
 
     def reattached(self) -> None:
-        """What may have been lost with the last link is given once more, where no notice shows that it was read.
+        """What may have been lost with the last link is given once more, unless a notice shows it was read.
 
-        Guards against commands lost on a link that breaks. `RUN` may be repeated and `SKIP` names its notice. A `FEED`
-        might be doubled where its run goes on without a notice; the engine has no call waiting then.
+        Guards against commands lost on a link that breaks. `RUN` may be repeated, `SKIP` names its notice. A
+        `FEED` might be doubled where its run goes on without a notice; no call of it waits then.
         """
         with self.bell:
             again = [s for s in self.sent if s.req is not None and s.noticed == s.req.noticed
--- a/gullyoke/daemon/gateways.py
+++ b/gullyoke/daemon/gateways.py
@@ -1,4 +1,4 @@
-"""The gateways' connections: accepted, a thread each, closed when silent, stalled or at the end of the drain."""
+"""The gateways' connections: accepted, a thread each, closed when silent, stalled or at the drain's end."""
 from __future__ import annotations
 
 import errno
@@ -56,7 +56,7 @@
             except OSError as fault:
                 if self.last or fault.errno in (errno.EBADF, errno.EINVAL):
                     return                            # closed at the end of the drain
-                # Guards against running out of descriptors or memory: what waits stays in the backlog a moment.
+                # Guards against running out of descriptors or memory: what waits stays in the backlog.
                 self.book.add("accept.failed")
                 log.warning("accept failed", extra=pairs(why=fault))
                 time.sleep(0.02)
@@ -142,7 +142,7 @@
                 shut(conn.sock)
 
     def close_idle(self, conn: Connection, end: End) -> None:
-        """Its thread wakes and finds the end, but only after whatever has come by then: that is read and answered."""
+        """Its thread wakes and finds the end after whatever has come by then, which is read and answered."""
         conn.closing = end
         try:
             conn.sock.shutdown(socket.SHUT_RD)
@@ -150,7 +150,7 @@
             pass
 
     def leave(self) -> None:
-        """The end of the drain: take what waits in the backlog, then no more; answers close their connections."""
+        """The end of the drain: take what waits in the backlog, then no more; answers close connections."""
         self.last = True
         self.listener.setblocking(False)
         while True:
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -28,7 +28,7 @@
 class House:
     def __init__(self, told: Told) -> None:
         threading.stack_size(STACK)
-        sys.setswitchinterval(0.001)                  # a thread that solves holds up an answer this long at most
+        sys.setswitchinterval(0.001)                  # a thread that solves holds up others this long at most
         self.told, self.book = told, Book()
         self.logging = start_log(told.level)
         self.timer = Timer(self.fault)
@@ -38,7 +38,8 @@
         self.route = Route(self.desk, self.engine, self.database, self.timer)
         self.relay = Relay(self.desk, self.route, self.book)
         self.gateways = Gateways(told.listen, told.sockets, self.desk, self.route, self.book)
-        self.naming = Naming(told.naming, told.name, lambda: self.route.good, random.Random(told.seed), self.book)
+        self.naming = Naming(told.naming, told.name, lambda: self.route.good, random.Random(told.seed),
+                             self.book)
         self.signals: list[int] = []
         self.bell = threading.Event()
 
@@ -52,8 +53,8 @@
         self.timer.at(clock.now() + SWEEP, self.sweep)
         self.gateways.start()
         self.naming.start()
-        log.info("started", extra=pairs(name=self.told.name, listen="%s:%d" % self.told.listen))
-        gc.freeze()                                   # what is there now stays; later passes need not look at it
+        log.info("started", extra=pairs(name=self.told.name, listen=":".join(map(str, self.told.listen))))
+        gc.freeze()                                   # what is there now stays; later passes pass it over
         while True:
             self.bell.wait()
             self.bell.clear()
--- a/gullyoke/daemon/http.py
+++ b/gullyoke/daemon/http.py
@@ -34,9 +34,9 @@
 
 
 def read(buffer: Buffer, begun: Callable[[], None] = lambda: None) -> Message | None:
-    """The next message, waiting for it; None when the peer closed before its first byte. `begun` is called at that.
+    """The next message, waiting for it; None if the peer closes first. `begun` is called at its first byte.
 
-    Guards against heads without end, lengths that lie and bodies in pieces: nothing is read beyond the bounds.
+    Guards against heads without end, lengths that lie and bodies in pieces: nothing is read beyond bounds.
     """
     if not len(buffer) and not buffer.fill():
         return None
--- a/gullyoke/daemon/naming.py
+++ b/gullyoke/daemon/naming.py
@@ -30,7 +30,7 @@
                 self.report()
                 pause, wait = PAUSES[0], EVERY
             except (Ended, OSError, http.Unfit) as fault:
-                end = getattr(fault, "end", None) or (end_of(fault) if isinstance(fault, OSError) else End.GARBLED)
+                end = end_of(fault) if isinstance(fault, OSError) else getattr(fault, "end", End.GARBLED)
                 self.close()
                 self.book.add(f"ends.naming.{end.value}")
                 log.warning("report to the name service failed", extra=pairs(end=end.value, why=fault))
--- a/gullyoke/daemon/options.py
+++ b/gullyoke/daemon/options.py
@@ -41,7 +41,7 @@
     limits = part(found, "limits", {})
     level = env.get("GULLYOKE_LOG", "INFO").upper()
     if level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-        raise Misstated(f"environment variable 'GULLYOKE_LOG' is {level!r}, not a level of the logging module")
+        raise Misstated(f"environment variable 'GULLYOKE_LOG' is {level!r}, not a level of logging")
     return Told(
         word(found, "name"), address(found, "listen"), address(found, "engine"), address(found, "naming"),
         address(found, "db"), seed(found), whole(found, "stop_ms", 1) * 1000,
--- a/gullyoke/daemon/relay.py
+++ b/gullyoke/daemon/relay.py
@@ -1,4 +1,4 @@
-"""Relay: what engine and database say becomes words for the decisions, results and replies go on unchanged."""
+"""Relay: what engine and database say becomes the port's words; results and replies go on unchanged."""
 from __future__ import annotations
 
 from gullyoke.daemon import clock
@@ -52,7 +52,7 @@
         self._with(tid, act)
 
     def not_done(self, command: str, tid: str) -> None:
-        """The engine did not carry a command out. A run that never began is over; a call's run will say so itself."""
+        """The engine did not carry a command out. A run that never began is over."""
         self.book.add("engine.no")
         log.warning("the engine did not carry out a command", extra=pairs(command=command, req=tid))
         if command == "RUN":
--- a/gullyoke/daemon/repeats.py
+++ b/gullyoke/daemon/repeats.py
@@ -7,7 +7,7 @@
 
 
 class Entry:
-    """A kept req. `holder` is the req in hand, or None when it is over; `result` is None if it didn't end well."""
+    """A kept req. `holder` is the req while it is in hand; `result` is None if it didn't end well."""
     __slots__ = ("ended", "holder", "result", "until", "waiting")
 
     def __init__(self, holder, until: int) -> None:
@@ -17,20 +17,21 @@
 
 
 class Repeats:
-    """Table: one entry for each handler and key that the decisions keep; gone at its time or when forgotten."""
+    """Table: one entry for each key that the decisions keep; gone after its time or when forgotten."""
 
     def __init__(self, fresh_for: int) -> None:
         self.fresh_for, self.bytes = fresh_for, 0
         self.entries: dict[tuple[Handler, str], Entry] = {}
 
     def find(self, req, now: int):
-        """The entry that this req repeats, if it came while that was alive, and what the decisions know of it."""
+        """The entry it repeats, if it came while that was alive, and what the decisions hear of it."""
         entry = self.entries.get((req.handler, req.key)) if req.key else None
         if entry is None or req.arrived > entry.until:
             return None, None
         if entry.holder is not None:
             return entry, entry.holder
-        if req.handler.kind is Kind.REPLAYABLE and (entry.result is None or now > entry.ended + self.fresh_for):
+        stale = entry.result is None or now > entry.ended + self.fresh_for
+        if stale and req.handler.kind is Kind.REPLAYABLE:
             return None, None
         return entry, PAST
 
--- a/gullyoke/daemon/route.py
+++ b/gullyoke/daemon/route.py
@@ -1,4 +1,4 @@
-"""Route: each command of the decisions goes to whoever carries it out. The port's Door; only queues are touched."""
+"""Route: each command of the decisions goes to whoever carries it out. Only queues are touched."""
 from __future__ import annotations
 
 from gullyoke.daemon.database import Database
--- a/gullyoke/daemon/timer.py
+++ b/gullyoke/daemon/timer.py
@@ -1,4 +1,4 @@
-"""One thread for all that is due at a time: the decisions' wake-up, limits of calls, the sweep of connections."""
+"""One thread for all that is due at a time: the decisions' wake-up, limits of calls, the sweep."""
 from __future__ import annotations
 
 import heapq
@@ -10,8 +10,8 @@
 
 
 class Timer(threading.Thread):
-    """Acts in order of their times. Table: the heap, which an act leaves when due; the acts are wake-ups, one each
-    for few kinds of work, and one for each call that is out."""
+    """Acts in order of their times. Table: the heap, which an act leaves when due; it holds a few that come
+    again and one for each call of the last seconds."""
 
     def __init__(self, fault: Callable[[str], None]) -> None:
         super().__init__(name="timer", daemon=True)
--- a/gullyoke/options.py
+++ b/gullyoke/options.py
@@ -1,7 +1,7 @@
-"""The settings of a site turned into the port's facts, for every front. They come as pairs of dotted path and text.
+"""The settings of a site turned into the port's facts, for every front: pairs of a dotted path and a text.
 
-The bench's wire has that form already; `flat` gives it to JSON. Read what is known, pass over the rest; a key that is
-absent is what its absence means in the protocol. What can't be right is told by the key's name.
+The bench's wire has that form already; `flat` gives it to JSON. Read what is known, pass over the rest; a key
+that is absent is what its absence means in the protocol. What can't be right is told by the key's name.
 """
 from __future__ import annotations
 
@@ -58,10 +58,11 @@
             raise Misstated(f"setting '{self.path}{key}' is {text!r}, not {wanted}") from None
 
     def number(self, key: str, default: object = MUST, least: float = 0.0) -> float:
-        return self._read(key, default, lambda text: bounded(float(text), least), f"a number from {least:g} on")
+        return self._read(key, default, lambda text: bounded(float(text), least), f"a number, {least:g} or more")
 
     def whole(self, key: str, default: object = MUST, least: int = 0) -> int:
-        return self._read(key, default, lambda text: bounded(exact(text), least), f"a whole number from {least} on")
+        return self._read(key, default, lambda text: bounded(exact(text), least),
+                          f"a whole number, {least} or more")
 
     def truth(self, key: str, default: object = MUST) -> bool:
         return self.choice(key, TRUTHS, default)
@@ -90,9 +91,10 @@
 
 
 def flat(value: object, path: str = "") -> dict[str, str]:
-    """Nested JSON as the wire's pairs: dotted paths, plain lists joined by commas, lists of objects counted."""
+    """Nested JSON as the wire's pairs: dotted paths, plain lists joined, lists of objects counted."""
     if isinstance(value, dict):
-        return {k: v for key, inner in value.items() for k, v in flat(inner, f"{path}.{key}".lstrip(".")).items()}
+        return {k: v for key, inner in value.items()
+                for k, v in flat(inner, f"{path}.{key}" if path else key).items()}
     if isinstance(value, list) and any(isinstance(x, dict | list) for x in value):
         out = {f"{path}.count": str(len(value))}
         for i, inner in enumerate(value):
@@ -124,8 +126,8 @@
                  for own in (get.at(f"Orgs.{i}") for i in range(get.whole("Orgs.count", 0)))]
     machine = Machine(
         info.whole("Cores", least=1), info.number("MemoryKb", least=1), info.number("Blowup", least=1),
-        info.number("KeyKb", 0.0), info.truth("FreshStart", False), info.choice("StopMode", STOPS, StopMode.NEVER),
-        tuple(info.listed("OwnStats")))
+        info.number("KeyKb", 0.0), info.truth("FreshStart", False),
+        info.choice("StopMode", STOPS, StopMode.NEVER), tuple(info.listed("OwnStats")))
     rules = get.at("Rules")
     limits = Limits(
         rules.whole("AnswerSlackUs"), rules.whole("DrainGraceUs"), rules.number("TipMultiple", least=1),
@@ -135,9 +137,10 @@
                   info.whole("ShareSpanUs", 0), info.whole("LingerUs", 0))
     allowed = get.at("Permissions")
     permits = Permits(
-        allowed.truth("RetryAfter", False), allowed.whole("MaxRetryAfterUs", 0), info.choice("Say", STAMPS, None),
-        info.whole("HeededUs", 0), info.truth("CancelSeen", False), info.truth("PassesDeadline", False),
-        info.truth("DeepChecks", False), info.truth("Readiness", False), info.whole("CallerIdleUs", 0))
+        allowed.truth("RetryAfter", False), allowed.whole("MaxRetryAfterUs", 0),
+        info.choice("Say", STAMPS, None), info.whole("HeededUs", 0), info.truth("CancelSeen", False),
+        info.truth("PassesDeadline", False), info.truth("DeepChecks", False), info.truth("Readiness", False),
+        info.whole("CallerIdleUs", 0))
     fleet = Fleet(get.whole("FleetSize"), get.choice("WorthBy", COUNTED, False),
                   get.number("OverShareWorth", 1.0), info.whole("FreshForUs", 0), info.whole("Callers", 0))
     return Facts(handlers, customers, machine, limits, below, permits, fleet)
--- a/gullyoke/port/__init__.py
+++ b/gullyoke/port/__init__.py
@@ -38,7 +38,7 @@
 )
 
 __all__ = [
-    "FAIL", "FORGET", "HOLD", "PAST", "REUSE", "RUN", "SKIP", "STOP", "WAIT", "Below", "Call", "Command", "Customer",
-    "Door", "Fleet", "Gauges", "Handler", "Keep", "Kind", "Limits", "Machine", "Permits", "Repeat", "Req",
-    "Shed", "Stage", "StopMode", "Word",
+    "FAIL", "FORGET", "HOLD", "PAST", "REUSE", "RUN", "SKIP", "STOP", "WAIT", "Below", "Call", "Command",
+    "Customer", "Door", "Fleet", "Gauges", "Handler", "Keep", "Kind", "Limits", "Machine", "Permits",
+    "Repeat", "Req", "Shed", "Stage", "StopMode", "Word",
 ]
