--- a/gullyoke/options.py
+++ b/gullyoke/options.py
@@ -58,7 +58,8 @@
             raise Misstated(f"setting '{self.path}{key}' is {text!r}, not {wanted}") from None
 
     def number(self, key: str, default: object = MUST, least: float = 0.0) -> float:
-        return self._read(key, default, lambda text: bounded(float(text), least), f"a number, {least:g} or more")
+        return self._read(key, default, lambda text: bounded(float(text), least),
+                          f"a number, {least:g} or more")
 
     def whole(self, key: str, default: object = MUST, least: int = 0) -> int:
         return self._read(key, default, lambda text: bounded(exact(text), least),
