The wait for gauges counts from the wake-up, and wake-ups keep their beat

Where little happened, 19 of 30 wake-ups a stretch came without gauges, after 0.0 ms: Route.ask counted its 30 ms from the last event's time, which was older than that. And each wake-up was set from the last one's handling, so the beat of 0.1 s drifted and 9 reqs of 1,326 were answered by the guard at their due time. Both now count from the right time. Ruled out: the engine's answers (0.3 ms median) and the writing of answers.

--- a/gullyoke/daemon/route.py
+++ b/gullyoke/daemon/route.py
@@ -1,6 +1,7 @@
 """Route: each command of the decisions goes to whoever carries it out. Only queues are touched."""
 from __future__ import annotations
 
+from gullyoke.daemon import clock
 from gullyoke.daemon.database import Database
 from gullyoke.daemon.desk import Desk, Taken
 from gullyoke.daemon.engine import Engine
@@ -17,6 +18,7 @@
         self.desk, self.engine, self.database, self.timer = desk, engine, database, timer
         self.good, self.idle_span, self.level = True, desk.facts.permits.longest_idle, None
         self.awaited = 0               # the wake-up that is out; one at a time
+        self.due = 0                   # when the last one was due
 
     def do(self, req: Taken, command: Command) -> None:
         desk, engine = self.desk, self.engine
@@ -53,7 +55,9 @@
         self.desk.over(req)
 
     def wake(self, after: int) -> None:
-        self.timer.at(self.desk.now + after, self.ask)
+        """Counted from when the last one was due: waiting for gauges must not push all later ones back."""
+        self.due = max(self.desk.now, self.due + after)
+        self.timer.at(self.due, self.ask)
 
     def health(self, good: bool, cheap: bool) -> None:
         self.good = good
@@ -73,7 +77,8 @@
         self.awaited += 1
         tag = self.awaited
         self.engine.stat(tag)
-        self.timer.at(self.desk.now + STATS_WAIT, lambda: self.woken(tag, {}))
+        # From this moment, not from the last event's: where little happens that is older than the whole wait.
+        self.timer.at(clock.now() + STATS_WAIT, lambda: self.woken(tag, {}))
 
     def woken(self, tag: int, got: dict[str, float]) -> None:
         with self.desk.lock:
