A broken connection tells that the caller has gone; an error on a req's path leaves no trace

Seen while reading the code and playing drains and restarts: a gateway that dies under a req left it held and run for nobody; a req whose path raised stayed in the module's line, where the next turn would have found it again and again, under the lock; closing the listening socket does not wake a thread that waits in accept; closing over unread bytes can cut off a refusal.

Server.step takes a req that broke out of all tables. The listener is shut down first. A last answer is followed by an orderly end. Where no descriptor is to spare the longest idle connection goes, and a newcomer if none is idle.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -279,9 +279,6 @@
             self.lately += (took - self.lately) / (8 if self.lately else 1)
         self.usual = min(self.usual or self.lately, self.lately) * 1.001
 
-    def slow(self) -> bool:
-        return self.lately > 2 * self.usual
-
     def wait(self, now: int) -> float:
         """How long a call that joins the line now is likely to take: what is ours comes back at our share."""
         if self.budget <= self.linger:            # none can be made within our share
@@ -299,9 +296,8 @@
                 if r.handler.skip_share and now + self.lately + r.handler.target / 8 > aim(r)]
 
     def pick(self):
-        if self.slow():
-            return max(self.line, key=lambda r: r.handler.value)
-        return self.line[0]
+        slow = self.lately > 2 * self.usual
+        return max(self.line, key=lambda r: r.handler.value) if slow else self.line[0]
 
 
 class Guards:
@@ -324,8 +320,7 @@
         return 0.8 * self.machine.cores * (1 + (self.limits.tip_multiple - 1) * self.speed(now))
 
     def expire(self, now: int) -> None:
-        if self.keys:
-            self.keys = {req: until for req, until in self.keys.items() if until > now}
+        self.keys = {req: until for req, until in self.keys.items() if until > now}
 
     def fits(self, kb: float) -> bool:
         return self.kb + kb + len(self.keys) * self.machine.key_kb <= 0.92 * self.machine.memory_kb
@@ -387,8 +382,7 @@
 
     def __init__(self, now, door, chance, handlers, customers, machine, limits, below, permits,
                  fleet) -> None:
-        # `chance` is unused so far: nothing is drawn by lot.
-        self.now, self.door, self.stage = now, door, Stage(door)
+        self.now, self.door, self.stage = now, door, Stage(door)    # of `chance` nothing is drawn so far
         self.machine, self.fleet = machine, fleet
         self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
         self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger)
@@ -416,8 +410,7 @@
 
     def tell(self, now: int, req, word: Word) -> None:
         self.now = now
-        if word is Word.GONE:
-            req.gone = True
+        req.gone |= word is Word.GONE
         if req in self.open:
             self.step(req, word)
 
@@ -438,9 +431,7 @@
         self.cap.adjust(gauges, self.hold.size, self.guards.crowd(now))
         self.advice.stamp(self.guards.speed(now))
         self.advice.connections(gauges.links, self.fleet.callers)
-        for req in self.hold.hopeless(now):
-            self.step(req, Word.OUT)
-        for req in self.below.leave_out(now):
+        for req in self.hold.hopeless(now) + self.below.leave_out(now):
             self.step(req, Word.OUT)
         stopping = self.guards.closing(now)
         for req in list(self.open):                          # rule 1: answered before its time is up
@@ -618,8 +609,16 @@
         return self.machine.stop_mode is not StopMode.NEVER and req.handler.kind is Kind.REPLAYABLE
 
     def step(self, req, word) -> None:
-        if not self.stage.step(req, word):
-            self.open.pop(req, None)
+        going = False
+        try:
+            going = self.stage.step(req, word)
+        finally:
+            # Guards against an error on a req's path: it leaves all tables, and the front answers it.
+            if not going and self.open.pop(req, req) is None and req.state in (HELD, ON, OFF):
+                if req in self.hold.lines[req.handler][req.over_share]:
+                    self.hold.drop(req)
+                self.below.line = [r for r in self.below.line if r is not req]
+                self.move(req, OVER)
 
     def move(self, req, state, quiet=False, shed=0) -> None:
         """Into another state: memory, the counts, and a step of s."""
--- a/gullyoke/daemon/desk.py
+++ b/gullyoke/daemon/desk.py
@@ -42,6 +42,7 @@
         self.customers = {c.name: c for c in facts.customers}
         self.lock, self.answering = threading.Lock(), threading.Lock()
         self.server: Server | None = None
+        self.door = None
         self.reqs: dict[str, Taken] = {}
         self.repeats = Repeats(facts.fleet.fresh_for)
         self.later: deque[tuple[Taken, Word]] = deque()
@@ -53,7 +54,7 @@
     def open(self, door, began: int) -> None:
         """Make the server of decisions, which started at `began`, once the engine has told how it stands."""
         with self.lock:
-            f = self.facts
+            f, self.door = self.facts, door
             self.now = clock.now()
             self.server = Server(began, door, random.Random(self.seed), f.handlers, f.customers, f.machine,
                                  f.limits, f.below, f.permits, f.fleet)
@@ -86,8 +87,7 @@
             self.book.add("faults.decisions")
             log.exception("fault in the decisions", extra=pairs(req=req.tid if req else "-"))
             if req is not None:
-                self.server.open.pop(req, None)
-                self.over(req)
+                self.door.over(req)
 
     def think(self) -> None:
         """The thread that carries on with what the decisions work out in pieces, and lets reqs in between.
--- a/gullyoke/daemon/ends.py
+++ b/gullyoke/daemon/ends.py
@@ -16,6 +16,7 @@
     STALLED = "stalled"        # a message or its answer made no way for too long
     GARBLED = "garbled"        # what came is not the protocol
     IDLE = "idle"              # closed here: silent for long
+    CROWDED = "crowded"        # closed here: no descriptor is to spare, and no connection is idle
     DECLARED = "declared"      # closed here, or by the peer, as an answer or a req had said
     LEAVING = "leaving"        # closed here at the end of the drain
     FAULT = "fault"            # an error of our own
--- a/gullyoke/daemon/gateways.py
+++ b/gullyoke/daemon/gateways.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 import threading
 import time
@@ -12,13 +13,13 @@
 from gullyoke.daemon.desk import Desk, Taken
 from gullyoke.daemon.ends import End, Ended, Peer, end_of, outcome
 from gullyoke.daemon.engine import shut
-from gullyoke.daemon.intake import Intake
+from gullyoke.daemon.intake import IDLE, READING, WAITING, WRITING, Intake
 from gullyoke.daemon.route import Route
 
 STALL = 5_000_000                      # microseconds for a message to come whole, or an answer to be taken
 SPARE = 32                             # descriptors kept for all else
 BACKLOG = 1024
-IDLE, READING, WAITING, WRITING = "idle", "reading", "waiting", "writing"
+HUNG = select.POLLERR | select.POLLHUP
 
 
 class Connection:
@@ -27,6 +28,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.state, self.since = sock, IDLE, clock.now()
         self.req: Taken | None = None
+        self.served = False                           # whether it has had a message
         self.closing: End | None = None               # why it is being closed here
 
     def now(self, state: str) -> None:
@@ -69,18 +71,20 @@
         self.open[conn] = None
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if len(self.open) > self.most:
-                self.make_room()
+            if len(self.open) > self.most and not self.make_room():
+                self.ended(conn, End.CROWDED, "")
+                return
             threading.Thread(target=self.serve, args=(conn,), name="gateway", daemon=True).start()
         except (OSError, RuntimeError) as fault:      # no thread to be had, or gone already
             log.warning("connection not served", extra=pairs(why=fault))
             self.ended(conn, End.FAULT, str(fault))
 
-    def make_room(self) -> None:
-        """Too many at once: the one longest idle goes."""
-        idle = [c for c in list(self.open) if c.state is IDLE and c.closing is None]
+    def make_room(self) -> bool:
+        """Too many at once: the one longest idle goes, so that engine and database can still be reached."""
+        idle = [c for c in list(self.open) if c.state is IDLE and c.closing is None and c.served]
         if idle:
             self.close_idle(min(idle, key=lambda c: c.since), End.IDLE)
+        return bool(idle)
 
     def serve(self, conn: Connection) -> None:
         why = ""
@@ -111,8 +115,9 @@
                 said, close = http.answer(fault.status, close=True), True
             conn.now(WRITING)
             conn.sock.sendall(said)
-            conn.req = None
+            conn.req, conn.served = None, True
             if close:
+                finish(conn.sock)
                 return End.DECLARED
 
     def ended(self, conn: Connection, end: End, why: str) -> None:
@@ -140,6 +145,24 @@
             elif conn.state in (READING, WRITING) and spent > STALL:
                 conn.closing = End.STALLED
                 shut(conn.sock)
+        self.hear_gone([c for c in list(self.open) if c.state is WAITING])
+
+    def hear_gone(self, waiting: list[Connection]) -> None:
+        """A connection that is broken while its req waits: nobody is there, and nothing could be written.
+
+        A peer that has closed its own direction only may still read, and keeps its answer.
+        """
+        look, by_number = select.poll(), {}
+        for conn in waiting:
+            number = conn.sock.fileno()
+            if number >= 0:
+                look.register(number, 0)
+                by_number[number] = conn
+        for number, seen in look.poll(0):
+            conn = by_number[number]
+            if seen & HUNG and conn.req is not None and not conn.req.gone:
+                self.book.add("reqs.gone")
+                self.desk.tell(conn.req, outcome(Peer.GATEWAY, End.RESET))
 
     def close_idle(self, conn: Connection, end: End) -> None:
         """Its thread wakes and finds the end after whatever has come by then, which is read and answered."""
@@ -150,7 +173,7 @@
             pass
 
     def leave(self) -> None:
-        """The end of the drain: take what waits in the backlog, then no more; answers close connections."""
+        """The end of the drain: take what waits in the backlog, then no more."""
         self.last = True
         self.listener.setblocking(False)
         while True:
@@ -160,4 +183,14 @@
                 break
             sock.setblocking(True)
             self.take(sock)
+        shut(self.listener)                           # closing alone would not wake the accepting thread
         self.listener.close()
+
+
+def finish(sock: socket.socket) -> None:
+    """Say that no more comes, and take what is still on its way: closing over unread bytes would break off
+    what the peer has yet to read. The sweep ends this where a peer goes on for long."""
+    sock.shutdown(socket.SHUT_WR)
+    for _ in range(64):
+        if not sock.recv(4096):
+            return
--- a/gullyoke/daemon/http.py
+++ b/gullyoke/daemon/http.py
@@ -7,11 +7,12 @@
 from gullyoke.daemon.buffer import Buffer
 from gullyoke.daemon.ends import End, Ended
 
-HEAD, BODY = 8192, 65536               # the longest that are read, in bytes
+HEAD, BODY = 8192, 16384               # the longest that are read, in bytes
 BUFFER = HEAD + BODY
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            501: "Not Implemented", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+VERSIONS = ("HTTP/1.0", "HTTP/1.1")     # what an answer begins with, where the request's first word stands
 
 
 class Unfit(Exception):
@@ -47,6 +48,8 @@
     first = tuple(lines[0].split(" ", 2))
     if len(first) != 3:
         raise Unfit(400, "first line")
+    if not first[2].startswith("HTTP/1.") and first[0] not in VERSIONS:
+        raise Unfit(505, "version")
     fields: dict[str, str] = {}
     for line in lines[1:]:
         name, mark, value = line.partition(":")
--- a/gullyoke/daemon/intake.py
+++ b/gullyoke/daemon/intake.py
@@ -8,6 +8,7 @@
 from gullyoke.port import Shed, Word
 
 HEALTH = "/ping"
+IDLE, READING, WAITING, WRITING = "idle", "reading", "waiting", "writing"   # what a connection is at
 
 
 class Intake:
@@ -28,7 +29,7 @@
     def req(self, req, conn, close: bool) -> tuple[bytes, bool]:
         self.book.add("reqs.read")
         conn.req = req
-        conn.now("waiting")
+        conn.now(WAITING)
         if self.desk.server is None:                  # no req comes before the engine is up; it never ran
             return http.answer(503, close=close), close
         if not admit.admit(self.desk, req):
--- a/gullyoke/daemon/lines.py
+++ b/gullyoke/daemon/lines.py
@@ -4,7 +4,7 @@
 from gullyoke.daemon.buffer import Buffer
 from gullyoke.daemon.ends import End, Ended
 
-LINE, CONTENT = 4096, 2**20            # the longest that are read, in bytes
+LINE, CONTENT = 4096, 65536            # the longest that are read, in bytes
 BUFFER = LINE + CONTENT + 2
 
 
--- a/gullyoke/daemon/relay.py
+++ b/gullyoke/daemon/relay.py
@@ -67,7 +67,7 @@
         self.book.add(f"calls.{word.name.lower()}")
 
         def act() -> None:
-            if req.tid in self.desk.reqs:
+            if self.desk.reqs.get(req.tid) is req:
                 if word is Word.CALL_OK:
                     self.route.engine.feed(req, reply)
                 self.desk.server.tell(self.desk.now, req, word)
