The notice to leave always wakes the process; socket scenarios for the real server

Seen in the new drain scenario, twice in twelve plays: no 'leaving' line, the server went on as if SIGTERM had never come. The handler of a signal runs on the main thread only, and that thread stayed in its wait: the signal had been handed to another. Ruled out: a dropped log line (the process did not end either), the decisions' lock (the line stands before it). Signals are now blocked in every thread and taken by sigwait in the main one.

A req without Reserve-Kb divided by zero where S is set, and each one until a req with a figure came errored; the smallest figure is now 0.1 KB.

Parsers torn at every byte, options with messages that name the key, the table of ends.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -400,8 +400,8 @@
     def read(self, now: int, req) -> None:
         self.now = now
         if self.learner is None:                             # S: what memory holds running, above the crowd
-            top = int(max(1.25 * self.crowd, min(self.machine.memory_kb / (req.kb * self.machine.blowup),
-                                                 2.5 * self.crowd)))
+            runs = self.machine.memory_kb / (max(req.kb, 0.1) * self.machine.blowup)
+            top = int(max(1.25 * self.crowd, min(runs, 2.5 * self.crowd)))
             self.learner = Learner(now, top, self.machine.cores, self.target / 6, 1 / self.target)
         self.last_read, self.unread = now, now - req.arrived
         req.life = self.life(req)
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -24,9 +24,14 @@
 SWEEP = 100_000                        # microseconds between looks at the connections
 LAST = 200_000                         # before the stop: no connection is taken any more
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+
 
 class House:
     def __init__(self, told: Told) -> None:
+        # Before any thread is there: each inherits it, and `run` alone takes the signals. Guards against a
+        # notice to leave that is handed to another thread and never wakes the main one from its wait.
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         threading.stack_size(STACK)
         sys.setswitchinterval(0.001)                  # a thread that solves holds up others this long at most
         self.told, self.book = told, Book()
@@ -40,13 +45,9 @@
         self.gateways = Gateways(told.listen, told.sockets, self.desk, self.route, self.book)
         self.naming = Naming(told.naming, told.name, lambda: self.route.good, random.Random(told.seed),
                              self.book)
-        self.signals: list[int] = []
-        self.bell = threading.Event()
 
     def run(self) -> int:
         """Serve until the notice to leave, and to the end of the drain."""
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
-            signal.signal(number, self.signal)
         self.timer.start()
         threading.Thread(target=self.desk.think, name="think", daemon=True).start()
         self.engine.start(self.relay)
@@ -56,17 +57,9 @@
         self.naming.start()
         log.info("started", extra=pairs(name=self.told.name, listen=":".join(map(str, self.told.listen))))
         gc.freeze()                                   # what is there now stays; later passes pass it over
-        while True:
-            self.bell.wait()
-            self.bell.clear()
-            while self.signals:
-                if self.signals.pop(0) != signal.SIGUSR1:
-                    return self.leave()
-                self.book.print("asked")
-
-    def signal(self, number: int, frame: object) -> None:
-        self.signals.append(number)
-        self.bell.set()
+        while signal.sigwait(SIGNALS) == signal.SIGUSR1:
+            self.book.print("asked")
+        return self.leave()
 
     def leave(self) -> int:
         """The drain: all that comes is still read and answered; at its end no connection is left unread."""
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,353 @@
+"""Stand-ins for what a real server talks to, on loopback, and the script that plays a scenario with them."""
+import contextlib
+import json
+import os
+import pathlib
+import queue
+import resource
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).parent.parent
+PATIENCE = 20          # seconds for what must come; what is fast enough never waits that long
+HANDLERS = (("view", "repeatable", 1.0, True, 0.3), ("book", "by_key", 2.0, False, 0.0),
+            ("pay", "once", 3.0, True, 0.0))
+
+
+def site(**over):
+    """A configuration with the settings' own names; `over` changes a few of them."""
+    g = dict(timeout=60_000, target=20_000, fresh=0, grace=1000, idle=30_000, cores=2)
+    g.update({key: over[key] for key in g if key in over})
+    profiles = [{"Name": name, "ObjectiveUs": int(g["target"] * 1000), "DeadlineUs": int(g["timeout"] * 1000),
+                 "Importance": value, "Semantics": kind, "LateWorth": 0.2, "KeyTtlUs": 5_000_000}
+                for name, kind, value, _, _ in HANDLERS]
+    info = {"Cores": int(g["cores"]), "MemoryKb": 1e6, "Blowup": 4.0, "KeyKb": 10.0, "FreshStart": False,
+            "StopMode": "off", "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
+            "CallsByClass": [h[3] for h in HANDLERS], "ClassSkipWorth": [h[4] for h in HANDLERS],
+            "DependsOn": "one_for_all", "CallsOut": 50.0, "ShareSpanUs": 5_000_000, "LingerUs": 200_000,
+            "Say": "off", "HeededUs": 1_000_000,
+            "CancelSeen": False, "PassesDeadline": True, "DeepChecks": False,
+            "Readiness": False, "CallerIdleUs": int(g["idle"] * 1000), "FreshForUs": int(g["fresh"] * 1000),
+            "Callers": 3}
+    rules = {"AnswerSlackUs": 80_000, "DrainGraceUs": int(g["grace"] * 1000), "TipMultiple": 8.0,
+             "TipAfterUs": 1_500_000, "StartCapacity": 0.25, "ColdUs": 10_000_000}
+    return {"Profiles": profiles, "FamilyInfo": info, "Rules": rules, "FleetSize": 3, "WorthBy": "request",
+            "Orgs": [], "Permissions": {"RetryAfter": True, "MaxRetryAfterUs": 1_000_000}}
+
+
+def tid(name):
+    return name.encode().hex().rjust(16, "0")
+
+
+def named(word):
+    with contextlib.suppress(ValueError, UnicodeDecodeError):
+        if len(word) == 16:
+            return bytes.fromhex(word).lstrip(b"\0").decode()
+    return word
+
+
+def message(name, handler, length="", **fields):
+    """A gateway's req; fields that are given as 'no' are left out."""
+    body = f"body of {name}".encode()
+    given = {"Trace-Id": tid(name), "Accepted-At-Ms": str(int(time.time() * 1000)), "Client-No": "1",
+             "Reserve-Kb": "10.0", "Max-Wait-Ms": "60000", "Standing": "0.5",
+             "Content-Length": length or str(len(body))} | fields
+    head = "".join(f"{key}: {value}\r\n" for key, value in given.items() if value != "no")
+    return f"POST /call/{handler} HTTP/1.1\r\nHost: origin.svc\r\n{head}\r\n".encode() + body
+
+
+class StandIn:
+    """One that listens. What comes is put in `heard`, message by message; `links` holds its connections."""
+
+    def __init__(self):
+        self.heard, self.links, self.listener, self.address = queue.Queue(), [], None, ("127.0.0.1", 0)
+        self.joined = queue.Queue()
+        self.up()
+
+    def up(self):
+        self.listener = socket.create_server(self.address)
+        self.address = self.listener.getsockname()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def down(self):
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.drop()
+
+    def drop(self):
+        for link in self.links:
+            with contextlib.suppress(OSError):
+                link.shutdown(socket.SHUT_RDWR)
+            link.close()
+        self.links.clear()
+
+    def accept(self, listener):
+        with contextlib.suppress(OSError):
+            while True:
+                link = listener.accept()[0]
+                link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.links.append(link)
+                threading.Thread(target=self.read, args=(link,), daemon=True).start()
+
+    def read(self, link):
+        with contextlib.suppress(OSError, ValueError), link.makefile("rb") as file:
+            for line in file:
+                self.message(link, file, line.decode("latin-1").split())
+
+    def message(self, link, file, words):
+        size = int(words[-1]) + 2 if words[0] in ("RUN", "FEED", "Q") else 0
+        self.heard.put([words[0], named(words[1]), file.read(size)[:-2].decode("latin-1"), link])
+
+    def say(self, text, link=None):
+        (link or self.links[-1]).sendall(text.encode("latin-1"))
+
+
+class Engine(StandIn):
+    """Answers STAT by itself, and ATTACH once it is up."""
+
+    def __init__(self):
+        self.state, self.notices, self.beats, self.needs = None, 0, threading.Semaphore(0), {}
+        super().__init__()
+
+    def message(self, link, file, words):
+        if words[0] == "STAT":
+            self.say(f"STATS {words[1]} 0.5 1 0.1 3\r\n", link)
+            self.beats.release()
+        elif words[0] == "ATTACH":
+            self.joined.put(words[1])
+            if self.state:
+                self.say(f"HELLO {self.state} 5000\r\n", link)
+        elif words[0] == "SKIP":
+            self.heard.put([words[0], named(words[1]), words[2], link])
+        else:
+            super().message(link, file, words)
+
+    def beat(self):
+        """Two wake-ups from now: all that was given before has been read."""
+        while self.beats.acquire(blocking=False):
+            pass
+        for _ in range(2):
+            assert self.beats.acquire(timeout=PATIENCE), "no wake-up"
+
+
+class Names(StandIn):
+    def message(self, link, file, words):
+        while (line := file.readline().strip()):
+            words += line.decode().split()
+        body = file.read(int(words[-1])).decode()
+        self.heard.put([words[1], json.loads(body)["serving"], "", link])
+        self.say("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", link)
+
+
+class Sockets:
+    """One real server under a scenario; tests/README.md has the notation."""
+
+    def __init__(self):
+        self.engine, self.db, self.naming = Engine(), StandIn(), Names()
+        self.given, self.gateways, self.process, self.lines = {}, {}, None, []
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            self.listen = probe.getsockname()
+
+    def close(self):
+        for peer in (self.engine, self.db, self.naming):
+            peer.down()
+        for conn, _ in self.gateways.values():
+            conn.close()
+        if self.process:
+            self.process.kill()
+            self.process.wait()
+
+    def start(self):
+        at = "{}:{}".format
+        config = {"name": "n3", "listen": at(*self.listen), "engine": at(*self.engine.address),
+                  "naming": at(*self.naming.address), "db": at(*self.db.address), "seed": "8c1f30d27a5be964",
+                  "stop_ms": int(self.given.get("stop_ms", 1500)), "settings": site(**self.given),
+                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": int(self.given.get("sockets", 1024))}}
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(config, file)
+            file.flush()
+            files = int(self.given.get("files", 1024))
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gullyoke"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                env=os.environ | {"NODE_CONFIG": file.name},
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files)))
+            threading.Thread(target=self.collect, args=(self.process,), daemon=True).start()
+            self.said("event=started")
+
+    def collect(self, process):
+        with process.stderr:
+            for line in process.stderr:
+                self.lines.append(line)
+
+    def said(self, text):
+        """Wait for a log line that holds the text."""
+        self.eventually(lambda: next((x for x in self.lines if text in x), None), f"'{text}' in the log")
+
+    @staticmethod
+    def eventually(ask, what):
+        until = time.monotonic() + PATIENCE
+        while not ask():
+            assert time.monotonic() < until, f"never came: {what}"
+            time.sleep(0.01)
+
+    def line(self, parts):
+        who, rest = parts[0], parts[1:]
+        if who == "site":
+            for key, value in (p.split("=", 1) for p in rest):
+                self.given[key] = float(value) if value.replace(".", "", 1).isdigit() else value
+            return
+        if self.process is None:
+            self.start()
+        if who.rstrip("<").isdigit():
+            self.gateway(who, rest)
+        elif who.endswith(">"):
+            peer = {"engine>": self.engine, "db>": self.db, "naming>": self.naming}[who]
+            got = peer.heard.get(timeout=PATIENCE)[:3]
+            assert got[:len(rest)] == rest or [*got[:2], *got[2].split()] == rest, f"heard {got}"
+        else:
+            getattr(self, f"at_{who}")(*rest)
+
+    # The peers.
+
+    def at_engine(self, verb, *rest):
+        engine = self.engine
+        if verb == "up":
+            assert engine.joined.get(timeout=PATIENCE) is not None
+            engine.state = rest[0]
+            engine.say(f"HELLO {engine.state} 5000\r\n")
+            self.said("event=serving")
+        elif verb == "attached":
+            got = engine.joined.get(timeout=PATIENCE)
+            assert got == rest[0], f"attached at {got}"
+        elif verb == "none":
+            engine.beat()
+            assert engine.heard.empty(), f"heard {engine.heard.get()[:3]}"
+        elif verb in ("need", "done", "redone"):
+            engine.notices += verb != "redone"
+            text = " ".join(rest[1 if verb == "need" else 2:])
+            tail = f"{len(text)}\r\n{text}\r\n"
+            if verb == "need":
+                engine.say(f"NEED {engine.notices} {tid(rest[0])} {tail}")
+            else:
+                engine.say(f"DONE {engine.notices} {tid(rest[0])} {rest[1]} 12 {tail}")
+        else:
+            self.peer(engine, verb, rest)
+
+    def at_db(self, verb, *rest):
+        if verb in ("ROWS", "FULL", "FAIL", "TIMEOUT", "NONE"):
+            text = " ".join(rest[1:])
+            tail = f" {len(text)}\r\n{text}" if verb == "ROWS" else ""
+            self.db.say(f"{tid(rest[0])} {verb}{tail}\r\n")
+        else:
+            self.peer(self.db, verb, rest)
+
+    def at_naming(self, verb, *rest):
+        self.peer(self.naming, verb, rest)
+
+    def peer(self, peer, verb, rest):
+        if verb == "raw":
+            peer.say(" ".join(rest).encode().decode("unicode_escape"))
+        else:
+            {"down": peer.down, "drop": peer.drop, "back": peer.up}[verb]()
+
+    # The process.
+
+    def at_ping(self, status):
+        with socket.create_connection(self.listen, PATIENCE) as conn, conn.makefile("rb") as file:
+            conn.sendall(b"GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
+            got = file.readline().split()[1].decode()
+        assert got == status, f"check answered {got}"
+
+    def at_leave(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def at_exit(self, code):
+        assert self.process.wait(PATIENCE) == int(code), self.process.returncode
+
+    def at_kill(self):
+        self.process.kill()
+        self.process.wait()
+        self.engine.drop()
+        self.process, self.engine.state, self.engine.notices = None, None, 0
+        self.lines.clear()
+
+    def at_log(self, *words):
+        self.said(" ".join(words))
+
+    def at_counter(self, name, wanted):
+        def ask():
+            self.process.send_signal(signal.SIGUSR1)
+            time.sleep(0.05)
+            last = next((x for x in reversed(self.lines) if "event=counters" in x), "")
+            return f" {name}={wanted} " in last.replace("\n", " ")
+        self.eventually(ask, f"{name}={wanted} in {[x for x in self.lines if 'counters' in x][-1:]}")
+
+    # The gateways.
+
+    def at_crowd(self, count):
+        for i in range(int(count)):
+            self.gateways[f"crowd{i}"] = socket.create_connection(self.listen, PATIENCE), None
+
+    def at_uncrowd(self):
+        for name in [x for x in self.gateways if x.startswith("crowd")]:
+            self.gateways.pop(name)[0].close()
+
+    def gateway(self, who, rest):
+        number = who.rstrip("<")
+        if number not in self.gateways:
+            conn = socket.create_connection(self.listen, PATIENCE)
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.gateways[number] = conn, conn.makefile("rb")
+        conn, file = self.gateways[number]
+        if who.endswith("<"):
+            self.answered(file, rest)
+        elif rest[0] in ("read", "torn", "stuck"):
+            fields = dict(p.split("=", 1) for p in rest[3:])
+            if "age" in fields:
+                fields["Accepted-At-Ms"] = str(int(time.time() * 1000) - int(fields.pop("age")))
+            data = message(*rest[1:3], **fields)
+            for i in range(len(data)) if rest[0] == "torn" else ():
+                conn.sendall(data[i:i + 1])
+            if rest[0] != "torn":
+                conn.sendall(data if rest[0] == "read" else data[:-3])
+        elif rest[0] == "raw":
+            with contextlib.suppress(OSError):        # it may be refused before its end
+                conn.sendall(" ".join(rest[1:]).encode().decode("unicode_escape").encode("latin-1"))
+        elif rest[0] == "flood":
+            with contextlib.suppress(OSError):
+                conn.sendall(b"x" * int(rest[1]))
+        elif rest[0] == "half":
+            conn.shutdown(socket.SHUT_WR)
+        elif rest[0] in ("close", "reset"):
+            if rest[0] == "reset":
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            file.close()
+            conn.close()
+            del self.gateways[number]
+        elif rest[0] != "open":
+            raise AssertionError(f"unknown '{rest[0]}'")
+
+    def answered(self, file, wanted):
+        """STATUS [BODY...] [+field[=value]...], or `end`."""
+        first = file.readline().split()
+        if wanted == ["end"]:
+            assert not first, f"answered {first}"
+            return
+        assert first, "no answer"
+        fields = {}
+        while (line := file.readline().strip().decode()):
+            key, _, value = line.partition(": ")
+            fields[key.lower()] = value
+        body = file.read(int(fields["content-length"])).decode()
+        got = first[1].decode()
+        assert got == wanted[0], f"answered {got} {body}"
+        assert [x for x in wanted[1:] if x[0] != "+"] == body.split(), f"body '{body}'"
+        for mark in (x[1:].partition("=") for x in wanted[1:] if x[0] == "+"):
+            assert mark[0] in fields and mark[2] in ("", fields[mark[0]]), f"fields {fields}"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,12 +1,23 @@
 """Plays the scenarios beside this file against the decisions alone; their notation is in tests/README.md."""
+import contextlib
 import io
+import json
 import pathlib
+import queue
 import random
+import tempfile
 import unittest
 
+from standins import Sockets, site
+
 from gullyoke.choice import TICK, Server
+from gullyoke.daemon import http, lines
+from gullyoke.daemon.buffer import Buffer
+from gullyoke.daemon.ends import End, Ended, Peer, outcome
+from gullyoke.daemon.options import told
 from gullyoke.drill import batches
 from gullyoke.drill.batches import Malformed
+from gullyoke.options import Misstated
 from gullyoke.port import (
     Below,
     Call,
@@ -190,19 +201,37 @@
             self.server.read(self.now, req)
 
 
-def play(path):
-    scene = Scene()
+    def play(self, parts):
+        if parts[0].isdigit():
+            self.event(int(parts[0]) * 1000, parts[1:])
+        else:
+            self.line(parts)
+
+
+def play(path, step):
     for number, raw in enumerate(path.read_text().splitlines(), 1):
         parts = raw.split("#")[0].split()
         if not parts:
             continue
         try:
-            if parts[0].isdigit():
-                scene.event(int(parts[0]) * 1000, parts[1:])
-            else:
-                scene.line(parts)
-        except AssertionError as fault:
-            raise AssertionError(f"{path.name}:{number}: {raw.strip()}: {fault}") from None
+            step(parts)
+        except (AssertionError, OSError, queue.Empty) as fault:
+            raise AssertionError(f"{path.name}:{number}: {raw.strip()}: {fault!r}") from None
+
+
+class Pieces:
+    """A socket that gives its bytes in these pieces."""
+
+    def __init__(self, *pieces):
+        self.pieces = [p for p in pieces[:-1] if p] + [pieces[-1]]
+
+    def recv_into(self, view):
+        piece = self.pieces[0][:len(view)]
+        view[:len(piece)] = piece
+        self.pieces[0] = self.pieces[0][len(piece):]
+        if not self.pieces[0] and len(self.pieces) > 1:
+            self.pieces.pop(0)
+        return len(piece)
 
 
 class Scenarios(unittest.TestCase):
@@ -226,12 +255,93 @@
         batches.play(io.BytesIO(text.encode()), out)
         return out.getvalue()
 
+    def test_torn(self):
+        """Messages torn at every byte, and with more behind them, are read as whole ones are."""
+        ask = b"POST /call/view HTTP/1.1\r\nTrace-Id: 0a\r\nContent-Length: 4\r\n\r\nA\r\nB"
+        told = b"DONE 7 0a ok 12 3\r\n\n\r\n\r\n"
+        for at in range(1, len(ask) + 1):
+            buffer = Buffer(Pieces(ask[:at], ask[at:] + ask, b""), http.BUFFER)
+            first, again = http.read(buffer), http.read(buffer)
+            self.assertEqual(first, again)
+            self.assertEqual((first.first[1], first.fields["trace-id"]), ("/call/view", "0a"))
+            self.assertEqual(first.body, b"A\r\nB")
+            self.assertIsNone(http.read(buffer))
+        for at in range(1, len(told) + 1):
+            buffer = Buffer(Pieces(told[:at], told[at:] + told, b""), lines.BUFFER)
+            for _ in range(2):
+                self.assertEqual(lines.read(buffer), ["DONE", "7", "0a", "ok", "12", "3"])
+                self.assertEqual(lines.content(buffer, "3"), b"\n\r\n")
+            self.assertIsNone(lines.read(buffer))
+            if at < len(told):
+                with self.assertRaises(Ended) as cut:
+                    buffer = Buffer(Pieces(told[:at], b""), lines.BUFFER)
+                    lines.content(buffer, lines.read(buffer)[-1])
+                self.assertIs(cut.exception.end, End.CUT)
+        long = Buffer(Pieces(*[b"x" * 4096] * 9), lines.BUFFER)
+        self.assertRaises(Ended, lines.read, long)
+        self.assertLess(len(long.data), 9 * 4096)     # endless input does not grow it without end
+
+    def test_options(self):
+        """One plain line that names the key, whatever is wrong with it; both fronts read the same facts."""
+        whole = {"name": "n3", "listen": "127.0.0.1:7001", "engine": "127.0.0.1:1", "naming": "127.0.0.1:2",
+                 "db": "127.0.0.1:3", "seed": "8c1f", "stop_ms": 3200, "limits": {"sockets": 64},
+                 "settings": site()}
+        right = self.told(whole)
+        self.assertEqual((right.listen, right.seed, right.stop), (("127.0.0.1", 7001), 0x8c1f, 3_200_000))
+        self.assertEqual(right.facts.handlers[1].kind, Kind.UNIQUED)
+        self.assertEqual(right.facts.below.share, 50.0)
+        for path, value, said in (
+            ("name", None, "'name'"), ("name", "a b", "'name'"), ("listen", "7001", "'listen'"),
+            ("engine", "x:0", "'engine'"), ("db", None, "'db'"), ("seed", "xyz", "'seed'"),
+            ("stop_ms", 0.5, "'stop_ms'"), ("limits.sockets", 5, "'limits.sockets'"),
+            ("settings", [], "'settings'"),
+            ("settings.FamilyInfo.Cores", "six", "'FamilyInfo.Cores' is 'six'"),
+            ("settings.FamilyInfo.Cores", 0, "'FamilyInfo.Cores' is '0'"),
+            ("settings.FamilyInfo.StopMode", "kill", "'FamilyInfo.StopMode'"),
+            ("settings.Rules.TipMultiple", None, "missing setting 'Rules.TipMultiple'"),
+            ("settings.Profiles", [], "'Profiles.count'"),
+            ("settings.FamilyInfo.MemoryKb", "nan", "'FamilyInfo.MemoryKb'"),
+        ):
+            wrong = json.loads(json.dumps(whole))
+            *way, last = path.split(".")
+            inner = wrong
+            for key in way:
+                inner = inner[key]
+            inner[last] = value
+            with self.subTest(path), self.assertRaisesRegex(Misstated, said):
+                self.told(wrong)
+        for env, said in (({}, "NODE_CONFIG"), ({"NODE_CONFIG": "/nowhere"}, "NODE_CONFIG: /nowhere")):
+            with self.assertRaisesRegex(Misstated, said):
+                told(env)
+
+    @staticmethod
+    def told(config):
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(config, file)
+            file.flush()
+            return told({"NODE_CONFIG": file.name})
+
+    def test_ends(self):
+        """Every end has its outcome for each peer; only one that never came about proves that no call ran."""
+        for end in End:
+            word = outcome(Peer.DATABASE, end)
+            self.assertIs(word, Word.CALL_UNRUN if end in (End.REFUSED, End.UNREACHED) else Word.CALL_LOST)
+            self.assertIn(outcome(Peer.GATEWAY, end), (None, Word.GONE))
+            self.assertIsNone(outcome(Peer.ENGINE, end) or outcome(Peer.NAMING, end))
+
     def test_scenarios(self):
         paths = sorted(HERE.glob("scenarios/*.txt"))
         self.assertTrue(paths)
         for path in paths:
             with self.subTest(path.stem):
-                play(path)
+                play(path, Scene().play)
+
+    def test_sockets(self):
+        paths = sorted(HERE.glob("sockets/*.txt"))
+        self.assertTrue(paths)
+        for path in paths:
+            with self.subTest(path.stem), contextlib.closing(Sockets()) as scene:
+                play(path, scene.line)
 
 
 if __name__ == "__main__":
