--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,18 +7,23 @@
 import random
 import tempfile
 import unittest
+from unittest import mock
 
 from standins import Sockets, site
 
-from gullyoke.choice import TICK, Server
-from gullyoke.daemon import http, lines
+from gullyoke.choice import TICK, Learner, Server
+from gullyoke.daemon import clock, http, lines
+from gullyoke.daemon.book import Book
 from gullyoke.daemon.buffer import Buffer
+from gullyoke.daemon.desk import Desk
 from gullyoke.daemon.ends import End, Ended, Peer, outcome
 from gullyoke.daemon.options import told
+from gullyoke.daemon.route import Route
 from gullyoke.drill import batches
 from gullyoke.drill.batches import Malformed
-from gullyoke.options import Misstated
+from gullyoke.options import Misstated, facts_of, flat
 from gullyoke.port import (
+    FAIL,
     Below,
     Call,
     Customer,
@@ -41,6 +46,10 @@
 ENDS = ("done", "errored", "stopped", "moot")
 
 
+class Tripped(Exception):
+    """What a scenario has break."""
+
+
 class Named(Req):
     __slots__ = ("name",)
 
@@ -63,12 +72,14 @@
         self.handlers, self.customers, self.reqs = {}, {}, {}
         self.server, self.now, self.due, self.use, self.links = None, 0, None, 1.0, None
         self.said, self.ever, self.notes, self.most = [], [], {}, 0
-        self.running = set()
+        self.running, self.trip = set(), None
 
     # The Door.
 
     def do(self, req, command):
         text = f"{command.name} {req.name}"
+        if text == self.trip:
+            raise Tripped(text)
         if isinstance(command, Call | Keep | Shed):
             self.notes[req.name] = command
         if command.name in ("hold", "wait"):
@@ -167,6 +178,8 @@
         verb = parts[0]
         if verb == "read":
             self.read(parts[1:])
+        elif verb == "trip":
+            self.trip = " ".join(parts[1:])
         elif verb == "busy":
             self.use = float(parts[1])
             self.until((time // TICK + 1) * TICK)
@@ -183,7 +196,8 @@
                     self.running.add(name)
         elif verb != "wait":
             raise AssertionError(f"unknown '{verb}'")
-        self.server.settle(self.now)
+        with contextlib.suppress(Tripped):
+            self.server.settle(self.now)
         self.most = max(self.most, len(self.running))
 
     def read(self, parts):
@@ -321,6 +335,41 @@
             file.flush()
             return told({"NODE_CONFIG": file.name})
 
+    def test_gauges(self):
+        """A wake-up waits for its gauges from its own time on, however long ago the last event was."""
+        times, desk = [], mock.Mock(now=0)
+        route = Route(desk, mock.Mock(), mock.Mock(), mock.Mock(at=lambda time, act: times.append(time)))
+        before = clock.now()
+        route.ask()
+        self.assertGreaterEqual(times[0], before + 1000)
+        desk.now, route.due = 1_000_300, 1_000_000    # handled a little late: the beat stays
+        route.wake(TICK)
+        self.assertEqual(times[1], 1_000_000 + TICK)
+
+    def test_fault(self):
+        """An error in the decisions costs its own req an errored answer; the desk goes on."""
+        desk, req = Desk(facts_of(flat(site())), 1, Book()), mock.Mock(outcome=None, entry=None, tid="a")
+        desk.server, desk.reqs["a"] = mock.Mock(), req
+        desk.door = mock.Mock(over=desk.over)
+        desk.server.tell.side_effect = ZeroDivisionError
+        with self.assertLogs("gullyoke", "ERROR"):
+            desk.tell(req, Word.NEEDS)
+        self.assertIs(req.outcome, FAIL)
+        self.assertTrue(req.gate.release.called and desk.server.settle.called)
+        self.assertFalse(desk.lock.locked() or desk.reqs)
+
+    def test_pieces(self):
+        """An episode is solved in pieces: between them the lock is free and the last policy stands."""
+        desk, learner = Desk(facts_of(flat(site())), 1, Book()), Learner(0, 40, 2, 1e5, 1e-6)
+        learner.steepness, last = [1.0] * 41, learner.policy
+        work, pieces = learner.solve(), 0
+        while desk.piece(work):
+            pieces += 1
+            self.assertIs(learner.policy, last)
+            self.assertFalse(desk.lock.locked())
+        self.assertGreater(pieces, 1)
+        self.assertIsNot(learner.policy, last)
+
     def test_ends(self):
         """Every end has its outcome for each peer; only one that never came about proves that no call ran."""
         for end in End:
