Each connection's end is told in one place; threads outlive an error of their own

Four copies of the same try are now ends.served, opening a connection is sockets.connected with its two ends (refused proves that nothing ran, unreached as well), and each long-lived thread steps under Book.forever. A head that is too long is answered 431 before its connection is closed; a message that stalls has its time even where an idle close was under way.

Stack: every socket scenario passes with 32 KiB a thread, so it is 128 KiB, four times that.

--- a/gullyoke/daemon/book.py
+++ b/gullyoke/daemon/book.py
@@ -6,7 +6,9 @@
 import queue
 import sys
 import threading
+import time
 from collections import Counter
+from collections.abc import Callable
 
 
 class Book:
@@ -20,6 +22,20 @@
         with self.lock:
             self.rows[name] += n
 
+    def fault(self, where: str, req: str = "-") -> None:
+        """An error of our own, in the handling of an exception."""
+        self.add(f"faults.{where}")
+        log.exception("fault", extra=pairs(where=where, req=req))
+
+    def forever(self, where: str, step: Callable[[], None]) -> None:
+        """A thread's whole life: an error of our own in one step must not end all later ones."""
+        while True:
+            try:
+                step()
+            except Exception:
+                self.fault(where)
+                time.sleep(0.05)
+
     def print(self, why: str) -> None:
         with self.lock:
             rows = sorted(self.rows.items())
--- a/gullyoke/daemon/buffer.py
+++ b/gullyoke/daemon/buffer.py
@@ -48,11 +48,9 @@
         self._took(at + 1 - self.start)
         return text
 
-    def until(self, mark: bytes, longest: int) -> bytes | None:
+    def until(self, mark: bytes) -> bytes | None:
         """All up to and with `mark`, or None while it has not come."""
         at = self.data.find(mark, self.start, self.end)
-        if at < 0 and len(self) > longest or at - self.start > longest:
-            raise Ended(End.GARBLED, f"a head of over {longest} bytes")
         return None if at < 0 else self.take(at + len(mark) - self.start)
 
     def take(self, size: int) -> bytes | None:
--- a/gullyoke/daemon/database.py
+++ b/gullyoke/daemon/database.py
@@ -8,9 +8,9 @@
 from gullyoke.daemon import clock, lines
 from gullyoke.daemon.book import Book, log, pairs
 from gullyoke.daemon.buffer import Buffer
-from gullyoke.daemon.ends import End, Ended, Peer, end_of, outcome
-from gullyoke.daemon.engine import shut
+from gullyoke.daemon.ends import End, Ended, Peer, outcome, served
 from gullyoke.daemon.lines import command
+from gullyoke.daemon.sockets import connected, shut
 from gullyoke.daemon.timer import Timer
 from gullyoke.port import Word
 
@@ -53,7 +53,8 @@
 
     def start(self, heard) -> None:
         self.heard = heard
-        threading.Thread(target=self.write, name="database-write", daemon=True).start()
+        threading.Thread(target=self.book.forever, args=("database", self.write), name="database-write",
+                         daemon=True).start()
 
     # Given under the desk's lock.
 
@@ -104,32 +105,29 @@
     # The writing thread.
 
     def write(self) -> None:
-        while True:
-            with self.bell:
-                while not self.outbox:
-                    self.bell.wait()
-                lane = self.outbox[0][0]
-            wire = self.lanes[lane]
-            if wire is not None and not wire.calls and clock.now() - wire.used > SILENT:
-                shut(wire.sock)                       # soon closed for silence: a call could cross that
-                wire.open = False
-            if wire is None or not wire.open:
-                wire = self.lanes[lane] = self.opened(lane)
-            if wire is not None:
-                self.send(lane, wire)
+        """Write what there is for one lane, once there is something."""
+        with self.bell:
+            while not self.outbox:
+                self.bell.wait()
+            lane = self.outbox[0][0]
+        wire = self.lanes[lane]
+        if wire is not None and not wire.calls and clock.now() - wire.used > SILENT:
+            shut(wire.sock)                           # soon closed for silence: a call could cross that
+            wire.open = False
+        if wire is None or not wire.open:
+            wire = self.lanes[lane] = self.opened(lane)
+        if wire is not None:
+            self.send(lane, wire)
 
     def opened(self, lane: int) -> Wire | None:
         """A new connection; if none comes about, its calls are known not to have run."""
         try:
-            sock = socket.create_connection(self.address, CONNECT)
-            sock.settimeout(None)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as fault:
-            end = End.REFUSED if isinstance(fault, ConnectionRefusedError) else End.UNREACHED
+            sock = connected(self.address, CONNECT)
+        except Ended as fault:
             with self.bell:
                 unsent = [asked for at, asked, _ in self.outbox if at == lane and asked is not None]
                 self.outbox = deque(x for x in self.outbox if x[0] != lane)
-            self.ended(end, str(fault), unsent)
+            self.ended(fault.end, str(fault), unsent)
             return None
         wire = Wire(sock)
         threading.Thread(target=self.read, args=(wire,), name="database-read", daemon=True).start()
@@ -152,20 +150,7 @@
     # The reading threads.
 
     def read(self, wire: Wire) -> None:
-        why = ""
-        try:
-            buffer = Buffer(wire.sock, lines.BUFFER)
-            while (words := lines.read(buffer)) is not None:
-                self.reply(wire, words, buffer)
-            end = End.CLOSED
-        except Ended as fault:
-            end, why = fault.end, str(fault)
-        except OSError as fault:
-            end, why = end_of(fault), str(fault)
-        except Exception:
-            self.book.add("faults.database")
-            log.exception("fault in reading from the database")
-            end = End.FAULT
+        end, why = served(lambda: self.replies(wire), lambda: self.book.fault("database"))
         with self.bell:
             wire.open = False
             lost = list(wire.calls.values())
@@ -173,6 +158,12 @@
         wire.sock.close()
         self.ended(end, why, lost)
 
+    def replies(self, wire: Wire) -> End:
+        buffer = Buffer(wire.sock, lines.BUFFER)
+        while (words := lines.read(buffer)) is not None:
+            self.reply(wire, words, buffer)
+        return End.CLOSED
+
     def reply(self, wire: Wire, words: list[str], buffer: Buffer) -> None:
         wire.used = clock.now()
         if len(words) == 3 and words[1] == "ROWS":
--- a/gullyoke/daemon/desk.py
+++ b/gullyoke/daemon/desk.py
@@ -10,7 +10,7 @@
 
 from gullyoke.choice import Server
 from gullyoke.daemon import clock
-from gullyoke.daemon.book import Book, log, pairs
+from gullyoke.daemon.book import Book, log
 from gullyoke.daemon.repeats import Repeats
 from gullyoke.options import Facts
 from gullyoke.port import FAIL, Gauges, Req, Shed, Word
@@ -84,8 +84,7 @@
         try:
             act()
         except Exception:
-            self.book.add("faults.decisions")
-            log.exception("fault in the decisions", extra=pairs(req=req.tid if req else "-"))
+            self.book.fault("decisions", req.tid if req else "-")
             if req is not None:
                 self.door.over(req)
 
@@ -109,8 +108,7 @@
             except StopIteration:
                 return False
             except Exception:
-                self.book.add("faults.decisions")
-                log.exception("fault in the decisions", extra=pairs(req="-"))
+                self.book.fault("decisions")
                 return False
 
     def tell(self, req: Taken, word: Word) -> None:
--- a/gullyoke/daemon/ends.py
+++ b/gullyoke/daemon/ends.py
@@ -1,6 +1,7 @@
 """Every way a connection can end, and what the decisions hear of it: one type, one table."""
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 from gullyoke.port import Word
@@ -52,6 +53,19 @@
         self.end = end
 
 
+def served(serve: Callable[[], End], fault: Callable[[], None]) -> tuple[End, str]:
+    """Serve a connection to its end: how it ended, and why. `fault` is told of an error of our own."""
+    try:
+        return serve(), ""
+    except Ended as ended:
+        return ended.end, str(ended)
+    except OSError as broken:
+        return end_of(broken), str(broken)
+    except Exception as own:                          # it ends this connection and nothing else
+        fault()
+        return End.FAULT, type(own).__name__
+
+
 def end_of(fault: OSError) -> End:
     """What an error of the operating system means for the connection it struck."""
     if isinstance(fault, ConnectionRefusedError):
--- a/gullyoke/daemon/engine.py
+++ b/gullyoke/daemon/engine.py
@@ -10,8 +10,9 @@
 from gullyoke.daemon import lines
 from gullyoke.daemon.book import Book, log, pairs
 from gullyoke.daemon.buffer import Buffer
-from gullyoke.daemon.ends import End, Ended, end_of
+from gullyoke.daemon.ends import End, Ended, served
 from gullyoke.daemon.lines import command
+from gullyoke.daemon.sockets import connected, shut
 
 CONNECT = 1.0                          # seconds for a connection to come about
 PAUSES = (0.02, 1.0)                   # seconds before the next try: the first, and the longest
@@ -40,7 +41,8 @@
     def start(self, heard) -> None:
         self.heard = heard
         threading.Thread(target=self.keep, name="engine-read", daemon=True).start()
-        threading.Thread(target=self.write, name="engine-write", daemon=True).start()
+        threading.Thread(target=self.book.forever, args=("engine", self.write), name="engine-write",
+                         daemon=True).start()
 
     # Commands, given under the desk's lock.
 
@@ -69,18 +71,18 @@
             self.bell.notify()
 
     def write(self) -> None:
-        while True:
-            with self.bell:
-                while not (self.attached and self.outbox):
-                    self.bell.wait()
-                batch, sock = list(self.outbox), self.sock
-                self.outbox.clear()
-                self.sent.extend(batch)               # a send that breaks may have carried any part of it
-            try:
-                sock.sendall(b"".join(s.data for s in batch))
-                self.book.add("engine.commands", len(batch))
-            except OSError:
-                shut(sock)                            # the reading side tells how it ended
+        """Write what there is, once there is something and a link to write it on."""
+        with self.bell:
+            while not (self.attached and self.outbox):
+                self.bell.wait()
+            batch, sock = list(self.outbox), self.sock
+            self.outbox.clear()
+            self.sent.extend(batch)                   # a send that breaks may have carried any part of it
+        try:
+            sock.sendall(b"".join(s.data for s in batch))
+            self.book.add("engine.commands", len(batch))
+        except OSError:
+            shut(sock)                                # the reading side tells how it ended
 
     # Notices.
 
@@ -88,36 +90,25 @@
         """Attach, read until the link ends, and again, for as long as the process lives."""
         pause = PAUSES[0]
         while True:
-            try:
-                before = self.last
-                self.attach_and_read()
-                ended = Ended(End.CLOSED)
-            except Ended as fault:
-                ended = fault
-            except OSError as fault:
-                ended = Ended(end_of(fault) if self.sock else End.UNREACHED, str(fault))
-            except Exception:
-                self.book.add("faults.engine")
-                log.exception("fault in reading from the engine")
-                ended = Ended(End.FAULT)
+            before = self.last
+            end, why = served(self.attach_and_read, lambda: self.book.fault("engine"))
             with self.bell:
                 self.attached, sock, self.sock = False, self.sock, None
             if sock is not None:
                 sock.close()
-            self.book.add(f"ends.engine.{ended.end.value}")
-            log.warning("link to the engine ended", extra=pairs(end=ended.end.value, why=ended))
+            self.book.add(f"ends.engine.{end.value}")
+            log.warning("link to the engine ended", extra=pairs(end=end.value, why=why))
             pause = PAUSES[0] if self.last > before else min(2 * pause, PAUSES[1])
             time.sleep(pause)
 
-    def attach_and_read(self) -> None:
-        sock = socket.create_connection(self.address, CONNECT)
-        sock.settimeout(None)                         # the engine may come up long after this server
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def attach_and_read(self) -> End:
+        sock = connected(self.address, CONNECT)
         self.sock, self.mark = sock, ""
         sock.sendall(command("ATTACH", self.last))
         buffer = Buffer(sock, lines.BUFFER)
         while (words := lines.read(buffer)) is not None:
             self.notice(words, buffer)
+        return End.CLOSED
 
     def notice(self, words: list[str], buffer: Buffer) -> None:
         kind, heard = words[0], self.heard
@@ -183,11 +174,3 @@
         return float(text)
     except ValueError:
         raise Ended(End.GARBLED, f"gauge {text[:20]!r}") from None
-
-
-def shut(sock: socket.socket) -> None:
-    """End both directions, which wakes whoever waits on it."""
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
--- a/gullyoke/daemon/gateways.py
+++ b/gullyoke/daemon/gateways.py
@@ -11,10 +11,10 @@
 from gullyoke.daemon.book import Book, log, pairs
 from gullyoke.daemon.buffer import Buffer
 from gullyoke.daemon.desk import Desk, Taken
-from gullyoke.daemon.ends import End, Ended, Peer, end_of, outcome
-from gullyoke.daemon.engine import shut
+from gullyoke.daemon.ends import End, Peer, outcome, served
 from gullyoke.daemon.intake import IDLE, READING, WAITING, WRITING, Intake
 from gullyoke.daemon.route import Route
+from gullyoke.daemon.sockets import finish, shut
 
 STALL = 5_000_000                      # microseconds for a message to come whole, or an answer to be taken
 SPARE = 32                             # descriptors kept for all else
@@ -87,17 +87,8 @@
         return bool(idle)
 
     def serve(self, conn: Connection) -> None:
-        why = ""
-        try:
-            end = self.exchange(conn, Buffer(conn.sock, http.BUFFER))
-        except Ended as fault:
-            end, why = fault.end, str(fault)
-        except OSError as fault:
-            end, why = end_of(fault), str(fault)
-        except Exception:
-            self.book.add("faults.gateway")
-            log.exception("fault in serving a connection")
-            end = End.FAULT
+        end, why = served(lambda: self.exchange(conn, Buffer(conn.sock, http.BUFFER)),
+                          lambda: self.book.fault("gateway"))
         self.ended(conn, conn.closing or end, why)
 
     def exchange(self, conn: Connection, buffer: Buffer) -> End:
@@ -138,13 +129,11 @@
         now, span = clock.now(), self.route.idle_span
         for conn in list(self.open):
             spent = now - conn.since
-            if conn.closing is not None:
-                continue
-            if conn.state is IDLE and (self.last or span and spent > span):
-                self.close_idle(conn, End.LEAVING if self.last else End.IDLE)
-            elif conn.state in (READING, WRITING) and spent > STALL:
+            if conn.state in (READING, WRITING) and spent > STALL:
                 conn.closing = End.STALLED
                 shut(conn.sock)
+            elif conn.state is IDLE and conn.closing is None and (self.last or span and spent > span):
+                self.close_idle(conn, End.LEAVING if self.last else End.IDLE)
         self.hear_gone([c for c in list(self.open) if c.state is WAITING])
 
     def hear_gone(self, waiting: list[Connection]) -> None:
@@ -185,12 +174,3 @@
             self.take(sock)
         shut(self.listener)                           # closing alone would not wake the accepting thread
         self.listener.close()
-
-
-def finish(sock: socket.socket) -> None:
-    """Say that no more comes, and take what is still on its way: closing over unread bytes would break off
-    what the peer has yet to read. The sweep ends this where a peer goes on for long."""
-    sock.shutdown(socket.SHUT_WR)
-    for _ in range(64):
-        if not sock.recv(4096):
-            return
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -20,7 +20,7 @@
 from gullyoke.daemon.route import Route
 from gullyoke.daemon.timer import Timer
 
-STACK = 256 * 1024                     # bytes of stack for each thread
+STACK = 128 * 1024                     # bytes of stack a thread; the deepest path needs under 32 KiB
 SWEEP = 100_000                        # microseconds between looks at the connections
 LAST = 200_000                         # before the stop: no connection is taken any more
 
@@ -36,7 +36,7 @@
         sys.setswitchinterval(0.001)                  # a thread that solves holds up others this long at most
         self.told, self.book = told, Book()
         self.logging = start_log(told.level)
-        self.timer = Timer(self.fault)
+        self.timer = Timer(self.book)
         self.desk = Desk(told.facts, told.seed, self.book)
         self.engine = Engine(told.engine, told.facts.machine.gauges, self.book)
         self.database = Database(told.database, self.timer, self.book)
@@ -79,7 +79,3 @@
     def sweep(self) -> None:
         self.timer.at(clock.now() + SWEEP, self.sweep)
         self.gateways.sweep()
-
-    def fault(self, where: str) -> None:
-        self.book.add(f"faults.{where}")
-        log.exception("fault", extra=pairs(where=where))
--- a/gullyoke/daemon/http.py
+++ b/gullyoke/daemon/http.py
@@ -42,7 +42,9 @@
     if not len(buffer) and not buffer.fill():
         return None
     begun()
-    while (head := buffer.until(b"\r\n\r\n", HEAD)) is None:
+    while (head := buffer.until(b"\r\n\r\n")) is None:
+        if len(buffer) > HEAD:
+            raise Unfit(431, "head too long")
         more(buffer)
     lines = head.decode("latin-1").split("\r\n")[:-2]
     first = tuple(lines[0].split(" ", 2))
--- a/gullyoke/daemon/naming.py
+++ b/gullyoke/daemon/naming.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import random
-import socket
 import threading
 import time
 from collections.abc import Callable
@@ -10,7 +9,8 @@
 from gullyoke.daemon import http
 from gullyoke.daemon.book import Book, log, pairs
 from gullyoke.daemon.buffer import Buffer
-from gullyoke.daemon.ends import End, Ended, end_of
+from gullyoke.daemon.ends import End, Ended, served
+from gullyoke.daemon.sockets import connected
 
 EVERY, LIMIT = 0.8, 0.5                # seconds between reports, and for each; an entry lapses after 3
 PAUSES = (0.1, 0.8)                    # before the next try after a failure: the first, and the longest
@@ -26,27 +26,28 @@
     def run(self) -> None:
         pause = PAUSES[0]
         while True:
-            try:
-                self.report()
-                pause, wait = PAUSES[0], EVERY
-            except (Ended, OSError, http.Unfit) as fault:
-                end = end_of(fault) if isinstance(fault, OSError) else getattr(fault, "end", End.GARBLED)
+            end, why = served(self.report, lambda: self.book.fault("naming"))
+            if end is not End.DECLARED:
                 self.close()
                 self.book.add(f"ends.naming.{end.value}")
-                log.warning("report to the name service failed", extra=pairs(end=end.value, why=fault))
-                wait, pause = pause, min(2 * pause, PAUSES[1])
+                log.warning("report to the name service failed", extra=pairs(end=end.value, why=why))
+            wait = EVERY if end is End.DECLARED else pause
+            pause = PAUSES[0] if end is End.DECLARED else min(2 * pause, PAUSES[1])
             time.sleep(wait * self.chance(0.8, 1.0))
 
-    def report(self) -> None:
+    def report(self) -> End:
+        """One report; DECLARED when it was taken, whether the connection stays open or not."""
         if self.sock is None:
-            self.sock = socket.create_connection(self.address, LIMIT)
+            self.sock = connected(self.address, LIMIT)
             self.sock.settimeout(LIMIT)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.buffer = Buffer(self.sock, http.BUFFER)
         body = b'{"serving":"yes"}' if self.good() else b'{"serving":"no"}'
         head = f"PUT {self.path} HTTP/1.1\r\nHost: naming\r\nContent-Length: {len(body)}\r\n\r\n"
         self.sock.sendall(head.encode("latin-1") + body)
-        said = http.read(self.buffer)
+        try:
+            said = http.read(self.buffer)
+        except http.Unfit as fault:
+            raise Ended(End.GARBLED, str(fault)) from None
         if said is None:
             raise Ended(End.CLOSED)
         if said.first[1] != "204":
@@ -54,6 +55,7 @@
         self.book.add("naming.reports")
         if said.closes():
             self.close()
+        return End.DECLARED
 
     def close(self) -> None:
         if self.sock is not None:
--- /dev/null
+++ b/gullyoke/daemon/sockets.py
@@ -0,0 +1,36 @@
+"""Opening and ending connections: the few calls on sockets that more than one part needs."""
+from __future__ import annotations
+
+import socket
+
+from gullyoke.daemon.ends import End, Ended
+
+
+def connected(address: tuple[str, int], patience: float) -> socket.socket:
+    """A connection opened here. That none came about has two ends, told apart by whether the peer said so."""
+    try:
+        sock = socket.create_connection(address, patience)
+    except ConnectionRefusedError as fault:
+        raise Ended(End.REFUSED, str(fault)) from None
+    except OSError as fault:
+        raise Ended(End.UNREACHED, str(fault)) from None
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def shut(sock: socket.socket) -> None:
+    """End both directions, which wakes whoever waits on it."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
+def finish(sock: socket.socket) -> None:
+    """Say that no more comes, and take what is still on its way: closing over unread bytes would break off
+    what the peer has yet to read. The sweep ends this where a peer goes on for long."""
+    sock.shutdown(socket.SHUT_WR)
+    for _ in range(64):
+        if not sock.recv(4096):
+            return
--- a/gullyoke/daemon/timer.py
+++ b/gullyoke/daemon/timer.py
@@ -7,16 +7,17 @@
 from collections.abc import Callable
 
 from gullyoke.daemon import clock
+from gullyoke.daemon.book import Book
 
 
 class Timer(threading.Thread):
     """Acts in order of their times. Table: the heap, which an act leaves when due; it holds a few that come
     again and one for each call of the last seconds."""
 
-    def __init__(self, fault: Callable[[str], None]) -> None:
+    def __init__(self, book: Book) -> None:
         super().__init__(name="timer", daemon=True)
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
-        self.bell, self.count, self.fault = threading.Condition(threading.Lock()), itertools.count(), fault
+        self.bell, self.count, self.book = threading.Condition(threading.Lock()), itertools.count(), book
 
     def at(self, time: int, act: Callable[[], None]) -> None:
         with self.bell:
@@ -25,12 +26,11 @@
                 self.bell.notify()
 
     def run(self) -> None:
-        while True:
-            with self.bell:
-                while not self.heap or self.heap[0][0] > clock.now():
-                    self.bell.wait((self.heap[0][0] - clock.now()) / 1e6 if self.heap else None)
-                act = heapq.heappop(self.heap)[2]
-            try:
-                act()
-            except Exception:                         # one fault must not end all later wake-ups
-                self.fault("timer")
+        self.book.forever("timer", self.next)
+
+    def next(self) -> None:
+        with self.bell:
+            while not self.heap or self.heap[0][0] > clock.now():
+                self.bell.wait((self.heap[0][0] - clock.now()) / 1e6 if self.heap else None)
+            act = heapq.heappop(self.heap)[2]
+        act()
