--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -88,14 +88,17 @@
                 self.fresh = True
 
     def solve(self):
-        """A new episode: the policy that is best in the most optimistic model within the widths. In pieces:
-        where solving takes real time, reqs go on between them under the last episode's policy.
+        """A new episode, from now on: the work that finds its policy, in pieces; reqs go on between them."""
+        self.fresh, self.ramp, self.episodes = False, self.modules, self.episodes + 1
+        self.before = [row[:] for row in self.visits]
+        return self.sweeps()
+
+    def sweeps(self):
+        """Finds the policy that is best in the most optimistic model within the widths.
 
         Widths have UCRL2's form (Jaksch et al. 2010) with the constants of the birth-and-death case (Anselmi
         et al. 2022), scaled by `width` (ours). Tridiagonal; starts from the last bias; stops by span.
         """
-        self.ramp, self.episodes = self.modules, self.episodes + 1
-        self.before = [row[:] for row in self.visits]
         log, worst, rows, most = math.log(4 * (self.steps + 2)), 1 + self.holding * self.top, [], 1e-9
         for pair in range(2 * (self.top + 1)):
             s, visits = pair // 2, [row[pair] for row in self.visits]
@@ -433,9 +436,8 @@
         self.advice.connections(gauges.links, self.fleet.callers)
         for req in self.hold.hopeless(now) + self.below.leave_out(now):
             self.step(req, Word.OUT)
-        stopping = self.guards.closing(now)
         for req in list(self.open):                          # rule 1: answered before its time is up
-            if not req.answered and not req.gone and (stopping or req.due <= now + TICK):
+            if not req.answered and not req.gone and (self.guards.closing(now) or req.due <= now + TICK):
                 self.step(req, Word.LATE)
             elif self.worthless(req):
                 self.step(req, Word.OUT)
@@ -446,7 +448,6 @@
         self.now = now
         if self.learner and self.learner.fresh:
             self.learner.count(now)
-            self.learner.fresh = False
             self.door.think(self.learner.solve())
         while self.below.line and self.below.room(req := self.below.pick(), now):
             self.step(req, Word.GO)
--- a/gullyoke/daemon/intake.py
+++ b/gullyoke/daemon/intake.py
@@ -27,13 +27,14 @@
         return self.req(admit.made(self.desk, message), conn, close)
 
     def req(self, req, conn, close: bool) -> tuple[bytes, bool]:
-        self.book.add("reqs.read")
         conn.req = req
         conn.now(WAITING)
-        if self.desk.server is None:                  # no req comes before the engine is up; it never ran
+        if self.desk.server is None:                  # nothing runs before the engine is up
+            self.book.add("answers.early")
             return http.answer(503, close=close), close
         if not admit.admit(self.desk, req):
             raise http.Unfit(409, "this req is in hand already")
+        self.book.add("reqs.read")
         if not req.gate.acquire(timeout=max(0.0, (req.due - clock.now()) / 1e6)):
             self.desk.overdue(req)
         close = close or self.closing
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -362,7 +362,9 @@
         """An episode is solved in pieces: between them the lock is free and the last policy stands."""
         desk, learner = Desk(facts_of(flat(site())), 1, Book()), Learner(0, 40, 2, 1e5, 1e-6)
         learner.steepness, last = [1.0] * 41, learner.policy
+        learner.visits[0][6] += 9.0
         work, pieces = learner.solve(), 0
+        self.assertEqual(learner.before, learner.visits)     # it began with that, not with its first piece
         while desk.piece(work):
             pieces += 1
             self.assertIs(learner.policy, last)
