--- a/gullyoke/daemon/engine.py
+++ b/gullyoke/daemon/engine.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import deque
+from logging import DEBUG, WARNING
 from typing import NamedTuple
 
 from gullyoke.daemon import lines
@@ -88,7 +89,7 @@
 
     def keep(self) -> None:
         """Attach, read until the link ends, and again, for as long as the process lives."""
-        pause = PAUSES[0]
+        pause, last = PAUSES[0], None
         while True:
             before = self.last
             end, why = served(self.attach_and_read, lambda: self.book.fault("engine"))
@@ -97,7 +98,10 @@
             if sock is not None:
                 sock.close()
             self.book.add(f"ends.engine.{end.value}")
-            log.warning("link to the engine ended", extra=pairs(end=end.value, why=why))
+            # A peer that stays away would fill the log with one line; the counters go on counting.
+            log.log(DEBUG if end is last else WARNING, "link to the engine ended",
+                    extra=pairs(end=end.value, why=why))
+            last = end
             pause = PAUSES[0] if self.last > before else min(2 * pause, PAUSES[1])
             time.sleep(pause)
 
--- a/gullyoke/daemon/naming.py
+++ b/gullyoke/daemon/naming.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from logging import DEBUG, WARNING
 
 from gullyoke.daemon import http
 from gullyoke.daemon.book import Book, log, pairs
@@ -24,13 +25,15 @@
         self.chance, self.sock, self.buffer = chance.uniform, None, None
 
     def run(self) -> None:
-        pause = PAUSES[0]
+        pause, last = PAUSES[0], None
         while True:
             end, why = served(self.report, lambda: self.book.fault("naming"))
             if end is not End.DECLARED:
                 self.close()
                 self.book.add(f"ends.naming.{end.value}")
-                log.warning("report to the name service failed", extra=pairs(end=end.value, why=why))
+                log.log(DEBUG if end is last else WARNING, "report to the name service failed",
+                        extra=pairs(end=end.value, why=why))
+            last = end
             wait = EVERY if end is End.DECLARED else pause
             pause = PAUSES[0] if end is End.DECLARED else min(2 * pause, PAUSES[1])
             time.sleep(wait * self.chance(0.8, 1.0))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -22,13 +22,13 @@
 
 def site(**over):
     """A configuration with the settings' own names; `over` changes a few of them."""
-    g = dict(timeout=60_000, target=20_000, fresh=0, grace=1000, idle=30_000, cores=2)
+    g = dict(timeout=60_000, target=20_000, fresh=0, grace=1000, idle=30_000, cores=2, stop="off")
     g.update({key: over[key] for key in g if key in over})
     profiles = [{"Name": name, "ObjectiveUs": int(g["target"] * 1000), "DeadlineUs": int(g["timeout"] * 1000),
                  "Importance": value, "Semantics": kind, "LateWorth": 0.2, "KeyTtlUs": 5_000_000}
                 for name, kind, value, _, _ in HANDLERS]
     info = {"Cores": int(g["cores"]), "MemoryKb": 1e6, "Blowup": 4.0, "KeyKb": 10.0, "FreshStart": False,
-            "StopMode": "off", "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
+            "StopMode": g["stop"], "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
             "CallsByClass": [h[3] for h in HANDLERS], "ClassSkipWorth": [h[4] for h in HANDLERS],
             "DependsOn": "one_for_all", "CallsOut": 50.0, "ShareSpanUs": 5_000_000, "LingerUs": 200_000,
             "Say": "off", "HeededUs": 1_000_000,
