A scenario of the drain with reqs in the backlog and unread at the notice to leave

The process stands still while two reqs come, one on a connection not yet accepted; both are read, run and answered, and the process ends by itself.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -268,6 +268,12 @@
     def at_leave(self):
         self.process.send_signal(signal.SIGTERM)
 
+    def at_pause(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+    def at_resume(self):
+        self.process.send_signal(signal.SIGCONT)
+
     def at_exit(self, code):
         assert self.process.wait(PATIENCE) == int(code), self.process.returncode
 
