State that could be derived goes: one flag for the end of the drain, a call keeps no copy of its text

Found on reading the change once more: Gateways.last and Intake.closing were the same fact set in two places, Desk.leaving was read by nobody, and a call in hand kept bytes and a time that only its making needs.

--- a/gullyoke/daemon/database.py
+++ b/gullyoke/daemon/database.py
@@ -23,10 +23,10 @@
 
 class Asked:
     """A call in hand. `wire` is the connection that carries it, None while it waits to be written."""
-    __slots__ = ("at", "data", "req", "wire")
+    __slots__ = ("req", "wire")
 
-    def __init__(self, req, at: int, data: bytes) -> None:
-        self.req, self.at, self.data, self.wire = req, at, data, None
+    def __init__(self, req) -> None:
+        self.req, self.wire = req, None
 
 
 class Wire:
@@ -59,10 +59,9 @@
     # Given under the desk's lock.
 
     def ask(self, req, try_for: int) -> None:
-        req.asked = asked = Asked(req, self.heard.desk.now, command(
-            "Q", req.tid, max(1, try_for // 1000), body=req.asking))
-        self._put(req.lane, asked, asked.data)
-        self.timer.at(asked.at + try_for, lambda: self.limit(asked))
+        req.asked = asked = Asked(req)
+        self._put(req.lane, asked, command("Q", req.tid, max(1, try_for // 1000), body=req.asking))
+        self.timer.at(self.heard.desk.now + try_for, lambda: self.limit(asked))
 
     def drop(self, req) -> None:
         """Its req is over."""
--- a/gullyoke/daemon/desk.py
+++ b/gullyoke/daemon/desk.py
@@ -49,7 +49,6 @@
         self.notes: deque[str] = deque(maxlen=100)
         self.thoughts: queue.SimpleQueue[Iterator] = queue.SimpleQueue()
         self.now, self.stop_at = clock.now(), None
-        self.leaving = False
 
     def open(self, door, began: int) -> None:
         """Make the server of decisions, which started at `began`, once the engine has told how it stands."""
@@ -119,7 +118,7 @@
             self.now, Gauges(got.get("core_use"), got.get("on_cores"), got.get("links"))))
 
     def leave(self, stop_after: int) -> None:
-        self.leaving, self.stop_at = True, clock.now() + stop_after
+        self.stop_at = clock.now() + stop_after
         self.handle(lambda: self.server.leave(self.now, self.stop_at))
 
     def answer(self, req: Taken, outcome: object, body: bytes = b"") -> None:
--- a/gullyoke/daemon/gateways.py
+++ b/gullyoke/daemon/gateways.py
@@ -46,7 +46,6 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.last = False                             # near the stop: answers say that the connection closes
 
     def start(self) -> None:
         threading.Thread(target=self.accept, name="accept", daemon=True).start()
@@ -56,7 +55,7 @@
             try:
                 sock, _ = self.listener.accept()
             except OSError as fault:
-                if self.last or fault.errno in (errno.EBADF, errno.EINVAL):
+                if self.intake.closing or fault.errno in (errno.EBADF, errno.EINVAL):
                     return                            # closed at the end of the drain
                 # Guards against running out of descriptors or memory: what waits stays in the backlog.
                 self.book.add("accept.failed")
@@ -126,14 +125,14 @@
 
     def sweep(self) -> None:
         """Silent connections are closed; so are those that a peer holds up."""
-        now, span = clock.now(), self.route.idle_span
+        now, span, last = clock.now(), self.route.idle_span, self.intake.closing
         for conn in list(self.open):
             spent = now - conn.since
             if conn.state in (READING, WRITING) and spent > STALL:
                 conn.closing = End.STALLED
                 shut(conn.sock)
-            elif conn.state is IDLE and conn.closing is None and (self.last or span and spent > span):
-                self.close_idle(conn, End.LEAVING if self.last else End.IDLE)
+            elif conn.state is IDLE and conn.closing is None and (last or span and spent > span):
+                self.close_idle(conn, End.LEAVING if last else End.IDLE)
         self.hear_gone([c for c in list(self.open) if c.state is WAITING])
 
     def hear_gone(self, waiting: list[Connection]) -> None:
@@ -163,7 +162,7 @@
 
     def leave(self) -> None:
         """The end of the drain: take what waits in the backlog, then no more."""
-        self.last = True
+        self.intake.closing = True
         self.listener.setblocking(False)
         while True:
             try:
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -67,7 +67,6 @@
         self.desk.leave(self.told.stop)
         stop = self.desk.stop_at
         time.sleep(max(0.0, (stop - LAST - clock.now()) / 1e6))
-        self.gateways.intake.closing = True
         self.gateways.leave()
         while self.gateways.open and clock.now() < stop - LAST // 10:
             time.sleep(0.005)
--- a/gullyoke/daemon/intake.py
+++ b/gullyoke/daemon/intake.py
@@ -13,7 +13,8 @@
 
 class Intake:
     def __init__(self, desk: Desk, route: Route, book: Book) -> None:
-        self.desk, self.route, self.book, self.closing = desk, route, book, False
+        self.desk, self.route, self.book = desk, route, book
+        self.closing = False                          # near the stop: answers say that the connection closes
 
     def take(self, message: http.Message, conn) -> tuple[bytes, bool]:
         """The answer's bytes, and whether the connection is closed after them."""
