A build that is whole or not there, and the lean start looked at from outside

`build` took any folder named .venv for a whole one: a first build that was cut off between making it and filling it left one that every later build passed over.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -256,9 +256,7 @@
         self.folder.cleanup()
 
     def start(self):
-        if self.config is None:
-            self.config = tempfile.mkstemp(".json")[1]
-        self.configure()
+        self.configure_file()
         files = int(self.given.get("files", 1024))
         extra = [".cli", "serve", "--operator", str(self.operator)] if self.wanted or self.rows else [""]
         self.process = subprocess.Popen(
@@ -268,6 +266,12 @@
         threading.Thread(target=self.collect, args=(self.process,), daemon=True).start()
         self.said("event=started")
 
+    def configure_file(self):
+        """The configuration, in a file that `close` takes away."""
+        if self.config is None:
+            self.config = tempfile.mkstemp(".json")[1]
+        self.configure()
+
     def configure(self):
         pool = "" if self.rows is None else "backends {{\n{}\n}}".format(
             "\n".join([self.row(*row) for row in self.rows] + self.pooled))
--- /dev/null
+++ b/tests/test_lean.py
@@ -0,0 +1,107 @@
+"""The deploy file's `run` as the platform starts it, looked at from outside: one lean process of ours."""
+import contextlib
+import os
+import pathlib
+import shlex
+import subprocess
+import sys
+import threading
+import tomllib
+import unittest
+
+from standins import ROOT, Sockets
+
+FOREIGN = "site-packages"
+# Counted, not timed: the same each time on one version of the language, and some room for others.
+MODULES, OURS, RESIDENT_MB, CPU_S = 260, 45, 40.0, 10.0
+
+
+class Lean(unittest.TestCase):
+    def deploy(self):
+        with open(ROOT / "deploy/balancer.toml", "rb") as file:
+            return tomllib.load(file)
+
+    def run_line(self):
+        """`run` with the interpreter at hand in the place of the one that `build` leaves."""
+        line = self.deploy()["run"]
+        self.assertTrue(line.startswith("exec .venv/bin/python "), line)
+        return line.replace(".venv/bin/python", shlex.quote(sys.executable), 1)
+
+    def test_build_is_whole_or_not_there(self):
+        """A build that was cut off is made anew: guards against a first build whose folder alone is taken for
+        the whole by the next one. Played with stand-ins for the two commands that take long."""
+        build = self.deploy()["build"]
+        with contextlib.ExitStack() as stack:
+            scene = stack.enter_context(contextlib.closing(Sockets()))
+            here = pathlib.Path(scene.folder.name)
+            python = here / "python3"
+            # Makes a folder whose pip fails the first time, as a cut would leave it.
+            python.write_text('#!/bin/sh\nmkdir -p .venv/bin\necho x >> made\n'
+                              'printf "#!/bin/sh\\ntest -e ready" > .venv/bin/pip\nchmod +x .venv/bin/pip\n')
+            python.chmod(0o755)
+            env = os.environ | {"PATH": f"{here}:{os.environ['PATH']}"}
+
+            def once():
+                return subprocess.run(["/bin/sh", "-c", build], cwd=here, env=env).returncode
+
+            self.assertNotEqual(once(), 0)
+            (here / "ready").touch()
+            self.assertEqual(once(), 0)
+            self.assertEqual(once(), 0)
+            self.assertEqual((here / "made").read_text(), "x\nx\n")    # twice: the third found it whole
+
+    def test_run(self):
+        """One process by `exec`, linked dynamically, nothing foreign in it, no child, no Unix socket."""
+        with contextlib.closing(Sockets()) as scene:
+            scene.configure_file()
+            scene.process = subprocess.Popen(
+                ["/bin/sh", "-c", self.run_line()], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                env=os.environ | {"NODE_CONFIG": scene.config})
+            threading.Thread(target=scene.collect, args=(scene.process,), daemon=True).start()
+            scene.line("engine up warm".split())
+            scene.line("1 read a pay".split())
+            scene.line("engine> RUN a".split())
+            scene.line("engine done a ok fine".split())
+            scene.line("1< 200 fine".split())
+            pid = pathlib.Path(f"/proc/{scene.process.pid}")
+            self.assertIn("python", os.readlink(pid / "exe"))          # the shell itself became it
+            children = "".join((task / "children").read_text() for task in (pid / "task").iterdir())
+            self.assertEqual(children.split(), [])
+            maps = (pid / "maps").read_text()
+            self.assertRegex(maps, r"/libc[.-]\S*so")
+            self.assertNotIn(FOREIGN, maps)
+            held = {os.readlink(fd) for fd in (pid / "fd").iterdir()}
+            unix = {f"socket:[{line.split()[6]}]" for line in
+                    pathlib.Path("/proc/net/unix").read_text().splitlines()[1:]}
+            self.assertEqual(held & unix, set())
+            self.assertFalse([name for name in held if FOREIGN in name])
+            status = (pid / "status").read_text()
+            resident = int(status.partition("VmRSS:")[2].split()[0]) / 1024
+            fields = (pid / "stat").read_text().rpartition(")")[2].split()
+            cpu = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+            print(f"lean start and one req: {cpu:.2f} s of CPU, {resident:.1f} MB resident", file=sys.stderr)
+            self.assertLess(resident, RESIDENT_MB)
+            self.assertLess(cpu, CPU_S)
+
+    def test_imports(self):
+        """What the lean start imports: the standard library and the packages that the deploy file names."""
+        code = ("import sys, gullyoke.daemon.start\n"
+                "for name, one in sorted(sys.modules.items()):\n"
+                "    print(name, getattr(one, '__file__', None) or '-')")
+        got = subprocess.check_output([sys.executable, "-c", code], cwd=ROOT, text=True)
+        rows = [line.split(" ", 1) for line in got.splitlines()]
+        self.assertEqual([name for name, path in rows if FOREIGN in path and not name.startswith("_")], [])
+        ours = sorted(name for name, _ in rows if name.startswith("gullyoke"))
+        named = self.deploy()["node"] + self.deploy()["policy"] + ["gullyoke/port", "gullyoke/options.py"]
+        allowed = {path.removesuffix(".py").replace("/", ".") for path in named}
+        strange = [name for name in ours if name != "gullyoke"
+                   and not any(name == a or name.startswith(a + ".") for a in allowed)]
+        self.assertEqual(strange, [])
+        self.assertNotIn("gullyoke.daemon.extra", ours)
+        self.assertNotIn("multiprocessing", {name for name, _ in rows})
+        self.assertLessEqual(len(ours), OURS)
+        self.assertLessEqual(len(rows), MODULES)
+
+
+if __name__ == "__main__":
+    unittest.main()
