Each feature of an operator's file a unit of its own behind one interface

Need: gullyoke/daemon/extra.py was where every operator's feature met (listeners, back ends, pools, store, the log's form), and membership, shared choices and duties would each have added their hooks to it and to the house.

Change, none in behaviour: gullyoke/features holds a unit each (listeners, back ends, class pools, memory), the file in force with its reading again, and the JSON form of the log. The house knows one protocol, Feature (work, held, join, start, print, end), and holds a list; nothing in the daemon names a feature. Room learns how many fronts share it after the features joined.

--- a/gullyoke/cli/main.py
+++ b/gullyoke/cli/main.py
@@ -45,13 +45,17 @@
         os.environ["NODE_CONFIG"] = config
     if operator is None:
         sys.exit(run())
-    from gullyoke.daemon.extra import Additions
+    from gullyoke.features.file import OperatorFile
     from gullyoke.operator.wanted import Faulty
     try:
-        extra = Additions(operator)
+        extra = OperatorFile(operator)
     except Faulty as faulty:
         refuse(faulty.faults)
-    sys.exit(run(extra, extra.wanted.pool is not None))
+    form = None
+    if extra.wanted.json_log:
+        from gullyoke.features.log_form import Flat
+        form = Flat()
+    sys.exit(run(extra, extra.apart(), form))
 
 
 @main.command()
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -9,7 +9,6 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
 from typing import Protocol
 
 from gullyoke.below.database import Database
@@ -39,59 +38,69 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
+class Feature(Protocol):
+    """One thing that an operator's file adds (gullyoke/features/), so that the lean start imports none of it.
+
+    Asked in this order: `work` and `held` while the house is put together, `join` when it is, `start` once
+    the timer runs, `print` with the counters, `end` at the end of the drain."""
+
+    def work(self, told: Told, book: Book) -> Work | None:
+        """What carries out the work in the engine's place, if this does."""
+
+    def held(self) -> int:
+        """The most descriptors that it holds."""
+
+    def join(self, house: House) -> None: ...
+    def start(self) -> None: ...
+    def print(self) -> None: ...
+    def end(self) -> None: ...
+
+
 class Extra(Protocol):
-    """What an operator's file adds to the house (gullyoke/daemon/extra.py), so that the lean start imports
-    none of it."""
-
-    def form(self) -> logging.Formatter | None: ...
-    def work(self, told: Told, book: Book) -> Work | None: ...
-    def held(self) -> int: ...
-    def desk(self, desk: Desk) -> None: ...
-    def watch(self, told: Told, desk: Desk, timer: Timer, book: Book) -> None: ...
-    def ways(self) -> tuple: ...
-    def fronts(self, intake: Intake) -> Iterator[tuple]: ...
+    """The operator's file: the features that it made, and reading it again, False where it can't be right."""
+    features: list[Feature]
+
     def reload(self) -> bool: ...
-    def print(self) -> None: ...
 
 
 class House:
-    """`extra` is what an operator's file adds, None where there is none."""
+    """`extra` is the operator's file, None where there is none; `form`, the log's where it is not ours."""
 
-    def __init__(self, told: Told, extra: Extra | None = None) -> None:
+    def __init__(self, told: Told, extra: Extra | None = None, form: logging.Formatter | None = None) -> None:
         threading.stack_size(STACK)
         sys.setswitchinterval(0.001)                  # a thread that solves holds up others this long at most
         self.told, self.book, self.extra = told, Book(), extra
-        self.logging = start_log(told.level, extra.form() if extra else None)
+        self.features: list[Feature] = extra.features if extra else []
+        self.logging = start_log(told.level, form)
         self.timer = Timer(self.book)
         self.desk = Desk(told.facts, told.seed, self.book)
         self.calls = told.sockets // CALLS
-        work = extra.work(told, self.book) if extra else None
-        if extra:
-            extra.desk(self.desk)
-        self.work: Work = work or Engine(told.engine, told.facts.machine.gauges, self.book)
+        works = [work for one in self.features if (work := one.work(told, self.book)) is not None]
+        self.work: Work = works[0] if works else Engine(told.engine, told.facts.machine.gauges, self.book)
         self.database = Database(told.database, self.calls, self.timer, self.book)
         self.standing = Standing(told.facts.permits.longest_idle)
         self.route = Route(self.desk, self.work, self.database, self.timer, self.standing)
         self.relay = Relay(self.desk, self.route, self.book)
         self.intake = Intake(self.desk, self.standing, self.book)
-        self.room = Room(self.places(), 1 + (len(extra.ways()) if extra else 0))
+        self.room = Room(self.places())
         self.connections = Connections(self.room, self.desk, self.standing, self.book)
         self.connections.listen(told.listen, Http1(self.intake))
-        for address, front in extra.fronts(self.intake) if extra else ():
-            self.connections.listen(address, front)
         self.naming = told.naming and Naming(told.naming, told.name, lambda: self.standing.good,
                                              random.Random(told.seed), self.book)
+        for one in self.features:
+            one.join(self)
+        self.room.among(len(self.connections.listeners))
 
     def places(self) -> int:
         """How many connections all fronts may have: what calls, back ends and the rest leave."""
-        return self.told.sockets - SPARE - self.calls - (self.extra.held() if self.extra else 0)
+        return self.told.sockets - SPARE - self.calls - sum(one.held() for one in self.features)
 
     def run(self) -> int:
         """Serve until the notice to leave, and to the end of the drain."""
         self.timer.start()
         threading.Thread(target=self.desk.think, name="think", daemon=True).start()
-        if self.extra:
-            self.extra.watch(self.told, self.desk, self.timer, self.book)
+        for one in self.features:
+            one.start()
         self.work.start(self.relay)
         self.database.start(self.relay)
         self.timer.at(clock.now() + SWEEP, self.sweep)
@@ -116,8 +125,8 @@
 
     def print(self, why: str) -> None:
         self.book.print(why)
-        if self.extra:
-            self.extra.print()
+        for one in self.features:
+            one.print()
 
     def reload(self) -> None:
         """Take over what a new configuration may change under reqs: addresses and the stop's time.
@@ -154,6 +163,8 @@
         while self.connections.open and clock.now() < stop - LAST // 10:
             time.sleep(0.005)
         log.info("left", extra=pairs(in_hand=len(self.desk.reqs), connections=len(self.connections.open)))
+        for one in self.features:
+            one.end()
         self.print("exit")
         self.logging.stop()
         return 0
--- /dev/null
+++ b/gullyoke/features/__init__.py
@@ -0,0 +1,2 @@
+"""What an operator's file adds to the house: one unit a feature, each behind the small interface `Feature` of
+gullyoke/daemon/house.py. Imported only where such a file is named; the house holds a list of them."""
--- /dev/null
+++ b/gullyoke/features/back_ends.py
@@ -0,0 +1,82 @@
+"""SCGI back ends in the engine's place."""
+from __future__ import annotations
+
+import random
+
+from gullyoke.core.book import Book
+from gullyoke.daemon.options import Told
+from gullyoke.features.unit import Plain
+from gullyoke.operator.wanted import Pooled, Wanted
+from gullyoke.options import Misstated
+from gullyoke.port import StopMode
+from gullyoke.routing import Budget, Dispatch, Health, Pool, Stated
+from gullyoke.work.backends import Address as At
+from gullyoke.work.backends import Backends
+
+
+class BackEnds(Plain):
+    """`wanted` is what the file says of them, those in force included."""
+    name = "backends"
+
+    def __init__(self, path: str, wanted: Pooled) -> None:
+        super().__init__(wanted)
+        self.path, self.wanted, self.sockets = path, wanted, 0
+        self.backends: Backends | None = None
+
+    def now(self, new: Wanted) -> object:
+        return new.pool
+
+    def held(self) -> int:
+        return self.wanted.most()
+
+    def work(self, told: Told, book: Book) -> Backends:
+        """The back ends. Raises `Misstated` where they leave no room for connections."""
+        wanted, self.sockets = self.wanted, told.sockets
+        self.roomy(wanted)
+        machine = told.facts.machine
+        # Whether running work can be stopped is the back ends' affair, not the engine's of the settings.
+        machine.stop_mode = StopMode.DISCARD if wanted.stops_on_close else StopMode.NEVER
+        told.facts.below.exists = False               # their calls do not come by us
+        pool = Pool(random.Random(told.seed ^ 0x5C91), wanted.ejecting.pool_share, wanted.first_limit,
+                    wanted.linger, lambda draw: healthy(wanted, draw))
+        dispatch = Dispatch(pool, Budget(wanted.retry_share, wanted.retry_burst))
+        self.backends = Backends(dispatch, machine.cores, wanted.linger, wanted.stops_on_close,
+                                 wanted.answer_bytes, book, machine.fresh_start)
+        self.state(wanted)
+        return self.backends
+
+    def roomy(self, wanted: Pooled) -> None:
+        if wanted.most() > self.sockets // 2:
+            raise Misstated(f"{self.path}: backends.backend: their `most` come to {wanted.most()} together; "
+                            f"right would be {self.sockets // 2} at most, half of limits.sockets")
+
+    def state(self, wanted: Pooled) -> None:
+        self.backends.state([At(b.name, b.address) for b in wanted.back_ends],
+                            [Stated(b.name, b.weight, b.least, b.most) for b in wanted.back_ends])
+
+    def print(self) -> None:
+        self.backends.print()
+
+    # While the server runs, other back ends are taken over.
+
+    def fits(self, new: Wanted) -> None:
+        if new.pool is not None:
+            self.roomy(new.pool)
+
+    def take(self, new: Wanted) -> dict[str, object]:
+        if new.pool is not None:
+            self.state(new.pool)
+            self.wanted = self.wanted._replace(back_ends=new.pool.back_ends)
+        return {"back_ends": len(self.wanted.back_ends)}
+
+    def ignored(self, new: Wanted) -> list[str]:
+        if new.pool is None:
+            return [self.name]
+        return [name for name in Pooled._fields
+                if name != "back_ends" and getattr(self.wanted, name) != getattr(new.pool, name)]
+
+
+def healthy(wanted: Pooled, draw) -> Health:
+    e = wanted.ejecting
+    return Health(draw, e.consecutive, e.over_peers, first_out=e.first_out, longest_out=e.longest_out,
+                  slow_start=e.slow_start)
--- /dev/null
+++ b/gullyoke/features/file.py
@@ -0,0 +1,77 @@
+"""The operator's file in force, the features that it makes, and reading it again."""
+from __future__ import annotations
+
+from typing import Protocol
+
+from gullyoke.core.book import log, pairs
+from gullyoke.daemon.house import Feature
+from gullyoke.features.back_ends import BackEnds
+from gullyoke.features.listeners import Listeners
+from gullyoke.features.pools import ClassPools
+from gullyoke.operator.read import read
+from gullyoke.operator.wanted import Faulty, Wanted
+from gullyoke.options import Misstated
+
+
+class Unit(Feature, Protocol):
+    """A feature as its file knows it. `part` is what stands in the file for it."""
+
+    def fits(self, new: Wanted) -> None:
+        """Raises `Misstated` where it can't take over what the file says now."""
+
+    def take(self, new: Wanted) -> dict[str, object]:
+        """Take over what may change while the server runs: what that came to, as pairs for the log."""
+
+    def ignored(self, new: Wanted) -> list[str]:
+        """The names of what differs and needs a restart."""
+
+
+class OperatorFile:
+    """An operator's file as it stands, and what was made of it."""
+
+    def __init__(self, path: str) -> None:
+        """Raises `Faulty` where the file can't be right."""
+        self.path, self.wanted = path, read(path)
+        self.features: list[Unit] = made(path, self.wanted)
+
+    def apart(self) -> bool:
+        """Whether no engine is needed."""
+        return self.wanted.pool is not None
+
+    def reload(self) -> bool:
+        """Read the file again. False where it can't be right; the one in force stays then, whole."""
+        try:
+            new = read(self.path)
+            for one in self.features:
+                one.fits(new)
+        except (Faulty, Misstated) as fault:
+            log.error("configuration kept", extra=pairs(why=fault))
+            return False
+        ignored = ["json_log"] if new.json_log != self.wanted.json_log else []
+        taken: dict[str, object] = {"back_ends": 0}
+        for one in self.features:
+            ignored += one.ignored(new)
+            taken |= one.take(new)
+        # A part that the file did not have at the start has no feature that could take it over.
+        ignored += [name for name, field in PARTS.items()
+                    if getattr(new, field) and not getattr(self.wanted, field)]
+        log.warning("operator's file read", extra=pairs(**taken, ignored=",".join(ignored) or "-"))
+        return True
+
+
+PARTS = {"ways": "ways", "classed": "classed", "kept": "kept", "backends": "pool"}   # in the log; in the file
+
+
+def made(path: str, wanted: Wanted) -> list[Unit]:
+    """The features that the file asks for, in the order in which they join the house."""
+    units: list[Unit] = []
+    if wanted.pool is not None:
+        units.append(BackEnds(path, wanted.pool))
+    if wanted.ways:
+        units.append(Listeners(wanted.ways))
+    if wanted.classed is not None:
+        units.append(ClassPools(path, wanted.classed))
+    if wanted.kept is not None:
+        from gullyoke.features.memory import Memory
+        units.append(Memory(wanted.kept))
+    return units
--- a/gullyoke/daemon/memory.py
+++ b/gullyoke/features/memory.py
@@ -10,6 +10,9 @@
 from gullyoke.core.book import Book, log, pairs
 from gullyoke.core.desk import Desk
 from gullyoke.core.timer import Timer
+from gullyoke.daemon.house import House
+from gullyoke.features.unit import Plain
+from gullyoke.operator.wanted import Kept, Wanted
 from gullyoke.store import Committer, Disk, Store
 from gullyoke.store import remember as rules
 
@@ -17,7 +20,26 @@
 LEARNED, STARTS = "learned", "starts"  # the keys
 
 
-class Memory:
+class Memory(Plain):
+    """The feature: what is remembered lies in the folder that the file names."""
+    name = "kept"
+
+    def __init__(self, kept: Kept) -> None:
+        super().__init__(kept)
+        self.kept, self.memory, self.house = kept, None, None
+
+    def now(self, new: Wanted) -> object:
+        return new.kept
+
+    def join(self, house: House) -> None:
+        self.house = house
+        self.memory = Remembered(self.kept.folder, self.kept.quota, house.told.settings, house.book)
+
+    def start(self) -> None:
+        self.memory.watch(self.house.desk, self.house.timer)
+
+
+class Remembered:
     """Table: none; the store holds two rows."""
 
     def __init__(self, folder: str, quota: int, stated: object, book: Book) -> None:
--- /dev/null
+++ b/gullyoke/features/unit.py
@@ -0,0 +1,47 @@
+"""What a feature does where it has nothing of its own to do."""
+from __future__ import annotations
+
+from gullyoke.core.book import Book
+from gullyoke.daemon.house import House
+from gullyoke.daemon.options import Told
+from gullyoke.operator.wanted import Wanted
+from gullyoke.work import Work
+
+
+class Plain:
+    """Holds no descriptors, does no work in the engine's place, takes nothing over while the server runs.
+    `name` is its part's in the log; `stated`, what the file said of it at the start."""
+    name = ""
+
+    def __init__(self, stated: object) -> None:
+        self.stated = stated
+
+    def now(self, new: Wanted) -> object:
+        """What a file says of it."""
+        raise NotImplementedError
+
+    # What the house asks for.
+
+    def held(self) -> int:
+        return 0
+
+    def work(self, told: Told, book: Book) -> Work | None:
+        return None
+
+    def join(self, house: House) -> None: ...
+
+    def start(self) -> None: ...
+
+    def print(self) -> None: ...
+
+    def end(self) -> None: ...
+
+    # What the file asks for.
+
+    def fits(self, new: Wanted) -> None: ...
+
+    def take(self, new: Wanted) -> dict[str, object]:
+        return {}
+
+    def ignored(self, new: Wanted) -> list[str]:
+        return [] if self.now(new) == self.stated else [self.name]
--- a/gullyoke/front/room.py
+++ b/gullyoke/front/room.py
@@ -14,6 +14,11 @@
         self.fronts = fronts
         self.state(most)
 
+    def among(self, fronts: int) -> None:
+        """So many fronts share them from now on."""
+        self.fronts = fronts
+        self.state(self.most)
+
     def state(self, most: int) -> None:
         """So many places from now on; who is over them stays until its end."""
         self.most = most
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -97,7 +97,6 @@
         strange = [name for name in ours if name != "gullyoke"
                    and not any(name == a or name.startswith(a + ".") for a in allowed)]
         self.assertEqual(strange, [])
-        self.assertNotIn("gullyoke.daemon.extra", ours)
         self.assertNotIn("multiprocessing", {name for name, _ in rows})
         self.assertLessEqual(len(ours), OURS)
         self.assertLessEqual(len(rows), MODULES)
