Membership among servers: decisions without I/O, played in the emulator's clock, and datagrams

Need: servers know nothing of each other; the fleet's size is what was told at the start. What follows (shared choices, duties of one) stands on knowing who is there through pauses, loss and one-sided cuts.

Change: gullyoke/members holds rows with numbers that never go back, rings of observers given by the view, askings that grow denser in doubt, reports that replace each other whole, one rule of removal (six in ten of the standing observers, for two seconds, one of whom sees six in ten of the fleet; refusals need neither the share nor the time), a member's trust in itself, coming in, staying out until well, two processes under one name, parts of views compared. gullyoke/emulator/peers.py plays it without sockets; gullyoke/peers puts it on UDP under a keyed digest; the operator's file has `fleet`, the command line `gullyoke fleet status|events|key`. Off without such a file.

Guards, each shown to matter by a test that takes it out: the span accusations must stand, many observers, seeing most of the fleet, numbers above what is known, distrust of oneself, staying out until well, time and tries before silence, asking before accusing after a pause, refutation.

Tried and changed on the way: a plain mean of what others say of the share lost let one deaf member hide its own death in a fleet of three (the median does not); unsure members that said nothing made either half of a cut fleet think it saw 65% (they say what they see now, it only does not count as an accusation); counting only members still in the view let a half remove the other one by one.

--- a/gullyoke/cli/main.py
+++ b/gullyoke/cli/main.py
@@ -8,6 +8,7 @@
 
 from gullyoke import __version__
 from gullyoke.cli.first import try_
+from gullyoke.cli.fleet import fleet
 from gullyoke.cli.lab import lab
 from gullyoke.cli.say import refuse
 from gullyoke.cli.store import store
@@ -87,3 +88,4 @@
 main.add_command(lab)
 main.add_command(try_)
 main.add_command(store)
+main.add_command(fleet)
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -42,7 +42,8 @@
     """One thing that an operator's file adds (gullyoke/features/), so that the lean start imports none of it.
 
     Asked in this order: `work` and `held` while the house is put together, `join` when it is, `start` once
-    the timer runs, `print` with the counters, `end` at the end of the drain."""
+    the timer runs, `print` with the counters, `leave` at the notice to leave, `end` at the end of the
+    drain."""
 
     def work(self, told: Told, book: Book) -> Work | None:
         """What carries out the work in the engine's place, if this does."""
@@ -53,6 +54,7 @@
     def join(self, house: House) -> None: ...
     def start(self) -> None: ...
     def print(self) -> None: ...
+    def leave(self) -> None: ...
     def end(self) -> None: ...
 
 
@@ -155,6 +157,8 @@
         """The drain: all that comes is still read and answered; at its end no connection is left unread."""
         log.info("leaving", extra=pairs(stop_ms=self.told.stop // 1000, in_hand=len(self.desk.reqs)))
         self.desk.leave(self.told.stop)
+        for one in self.features:
+            one.leave()
         stop = self.desk.stop_at
         while (left := (stop - LAST - clock.now()) / 1e6) > 0:
             if (sign := signal.sigtimedwait(SIGNALS, left)) is not None:
--- a/gullyoke/features/file.py
+++ b/gullyoke/features/file.py
@@ -59,7 +59,8 @@
         return True
 
 
-PARTS = {"ways": "ways", "classed": "classed", "kept": "kept", "backends": "pool"}   # in the log; in the file
+PARTS = {"ways": "ways", "classed": "classed", "kept": "kept", "backends": "pool",
+         "fleet": "fleet"}             # their names in the log, and what is read
 
 
 def made(path: str, wanted: Wanted) -> list[Unit]:
@@ -74,4 +75,7 @@
     if wanted.kept is not None:
         from gullyoke.features.memory import Memory
         units.append(Memory(wanted.kept))
+    if wanted.fleet is not None:
+        from gullyoke.features.fleet import Fleet
+        units.append(Fleet(path, wanted.fleet, wanted.kept))
     return units
--- /dev/null
+++ b/gullyoke/features/fleet.py
@@ -0,0 +1,138 @@
+"""Membership in a fleet, where the operator's file names one: who is there, on sockets, beside the reqs.
+
+Nothing of it is in a req's way: what the decisions get of it is the fleet's size, one figure a second.
+Whatever fails here, the four rules hold."""
+from __future__ import annotations
+
+import random
+import time
+
+from gullyoke.core import clock
+from gullyoke.core.book import log, pairs
+from gullyoke.daemon.house import House
+from gullyoke.features.unit import Plain
+from gullyoke.members import Change, Member, Row, Status, began
+from gullyoke.operator.wanted import Kept, Together, Wanted
+from gullyoke.options import Misstated
+from gullyoke.peers.ask import Answers
+from gullyoke.peers.kept import Number
+from gullyoke.peers.link import Link
+from gullyoke.peers.seal import Seal, Unusable, keys_in
+
+LOOK = 1_000_000                       # microseconds between looks at the size
+LAST_WORDS, BETWEEN = 3, 0.02          # how often it is said that this one has left, and seconds between
+DESCRIPTORS = 4
+
+
+class Fleet(Plain):
+    name = "fleet"
+
+    def __init__(self, path: str, wanted: Together, kept: Kept | None) -> None:
+        super().__init__(wanted)
+        self.path, self.wanted, self.kept = path, wanted, kept
+        self.house: House | None = None
+        self.link: Link | None = None
+        self.member: Member | None = None
+        self.number: Number | None = None
+        self.told = self.size = 0
+
+    def now(self, new: Wanted) -> object:
+        return new.fleet
+
+    def held(self) -> int:
+        return DESCRIPTORS
+
+    def join(self, house: House) -> None:
+        """Raises `Misstated` for a key file that can't be right, `OSError` where it can't listen."""
+        self.house = house
+        self.link = Link(self.wanted.listen, Seal(self.wanted.name, self.keys(self.wanted)), house.book)
+        self.answers = Answers(self.wanted.status, self.link, house.book) if self.wanted.status else None
+
+    def keys(self, wanted: Together) -> tuple[bytes, ...]:
+        try:
+            with open(wanted.key_file, encoding="utf-8") as file:
+                return keys_in(file.read(4096))
+        except (OSError, UnicodeDecodeError, Unusable) as fault:
+            raise Misstated(f"{self.path}: fleet.key_file: {wanted.key_file}: {fault}") from None
+
+    def start(self) -> None:
+        house, wanted = self.house, self.wanted
+        self.told = self.size = house.told.facts.fleet.size
+        self.number = Number(self.kept.folder if self.kept else None, house.book)
+        chance = random.Random(house.told.seed ^ 0x5EED)
+        row = Row(house.told.name, began(int(time.time()), self.number.known()), Status.JOINING,
+                  wanted.advertise, wanted.zone, chance.getrandbits(63))
+        self.number.keep(row.number)
+        self.member = Member(clock.now(), row, wanted.seeds, chance)
+        self.member.heed.append(self.changed)
+        self.link.begin(self.member)
+        if self.answers:
+            self.answers.start()
+        house.timer.at(clock.now() + LOOK, self.look)
+        log.info("fleet", extra=pairs(name=wanted.name, listen=":".join(map(str, wanted.listen)),
+                                      zone=wanted.zone, number=row.number, seeds=len(wanted.seeds)))
+
+    def changed(self, change: Change) -> None:
+        """A line a change; called by the link's thread."""
+        row, mark = change.row, change.mark
+        self.house.book.add(f"fleet.{change.what}")
+        log.info("member", extra=pairs(
+            what=change.what, name=row.name, status=row.status.name.lower(), zone=row.zone,
+            view=change.number, evidence=f"{mark.accusing}/{mark.standing}" if mark else "own"))
+        if row.id == self.member.id and row.number > self.number.latest:
+            self.number.keep(row.number)
+
+    def look(self) -> None:
+        """The size in force, given to the decisions where that is wanted."""
+        house = self.house
+        house.timer.at(clock.now() + LOOK, self.look)
+        with self.link.lock:
+            size = self.member.size(clock.now())
+        in_force = size.in_force(self.told)
+        if not self.wanted.size or in_force == self.size:
+            return
+        self.size = in_force
+        with house.desk.lock:
+            house.told.facts.fleet.size = in_force    # the decisions' own record of the fleet
+        log.info("fleet size", extra=pairs(size=in_force, told=self.told, seen=size.seen,
+                                           age_ms=size.age // 1000, confidence=f"{size.confidence:.2f}"))
+
+    def print(self) -> None:
+        with self.link.lock:
+            one, size = self.member, self.member.size(clock.now())
+            stage, view, digest = one.entry.stage.value, one.view.number, one.view.digest
+        log.info("fleet", extra=pairs(stage=stage, members=size.members, seen=size.seen, view=view,
+                                      digest=f"{digest:016x}", confidence=f"{size.confidence:.2f}"))
+
+    def leave(self) -> None:
+        self.link.act(lambda: self.member.leave(clock.now()))
+
+    def end(self) -> None:
+        for _ in range(LAST_WORDS):
+            self.link.act(lambda: self.member.left(clock.now()))
+            time.sleep(BETWEEN)
+        if self.answers:
+            self.answers.end()
+        self.link.end()
+        self.number.close()
+
+    # While the server runs, other seeds and keys are taken over.
+
+    def fits(self, new: Wanted) -> None:
+        if new.fleet is not None:
+            self.keys(new.fleet)
+
+    def take(self, new: Wanted) -> dict[str, object]:
+        if new.fleet is None:
+            return {}
+        self.link.seal.keys = self.keys(new.fleet)
+        with self.link.lock:
+            self.member.entry.seeds = new.fleet.seeds
+        self.wanted = self.wanted._replace(seeds=new.fleet.seeds, key_file=new.fleet.key_file)
+        return {"seeds": len(new.fleet.seeds), "keys": len(self.link.seal.keys)}
+
+    def ignored(self, new: Wanted) -> list[str]:
+        if new.fleet is None:
+            return [self.name]
+        return [f"fleet.{name}" for name in Together._fields if name not in ("seeds", "key_file")
+                and getattr(self.wanted, name) != getattr(new.fleet, name)]
--- /dev/null
+++ b/gullyoke/members/entry.py
@@ -0,0 +1,145 @@
+"""Coming in: joining by seeds, the start's number, one name held twice, and coming back after a removal.
+
+A member is at one of five stages. `ALONE`: nobody has answered yet. `JOINING`: the others' view is being
+read. `IN`. `OUT`: it was removed; it stays out until its own askings have been answered for `SETTLE`, longer
+after each removal, so that one with a bad link is removed once and does not come and go. `DISPLACED`:
+another process holds its name."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+from gullyoke.members.row import TURNS, Row, Status, began
+
+ASK, ASK_LONGEST = 400_000, 2_000_000  # microseconds between askings of seeds, growing, half of it by chance
+SEEDS = 2                              # asked at once
+READ = 2_000_000                       # the others' view is read for so long at the most
+SETTLE, SETTLE_LONGEST = 2_000_000, 60_000_000
+WELL = 0.2                             # of its askings may fail while it settles
+REFUTE, REFUTE_LONGEST = 500_000, 8_000_000   # between two refutations
+CHALLENGE = 2_500_000                  # the other holder of its name has so long to answer
+RETRY = 10_000_000                     # between looks for a fleet elsewhere, or at a name that is held
+
+
+class Stage(Enum):
+    ALONE = "alone"
+    JOINING = "joining"
+    IN = "in"
+    OUT = "out"
+    DISPLACED = "displaced"
+
+
+class Entry:
+    """Table: `seeds`, as stated, with a few addresses of members lately known; bounded by KNOWN."""
+    KNOWN = 32
+
+    def __init__(self, now: int, row: Row, seeds: tuple[str, ...], draw: Callable[[int], int],
+                 sample: Callable) -> None:
+        self.row, self.seeds, self.stage = row, seeds, Stage.ALONE
+        self.draw, self.sample = draw, sample
+        self.next, self.pause, self.since, self.removals = now, ASK, now, 0
+        self.settling: int | None = None
+        self.refuted_at, self.refute = now - REFUTE, REFUTE
+        self.lately: list[str] = []
+        self.challenged: tuple[Row, int] | None = None
+
+    def asks(self, now: int, live: set[str]) -> list[str]:
+        """The addresses to say hello to now. One who is in goes on asking the seeds it does not see, now and
+        then: guards against fleets that formed apart while no seed was up."""
+        if now < self.next or self.stage is Stage.OUT:
+            return []
+        if self.stage in (Stage.IN, Stage.DISPLACED):
+            self.next = now + RETRY
+        else:
+            self.next = now + self.pause // 2 + self.draw(self.pause // 2)
+            self.pause = min(3 * self.pause // 2, ASK_LONGEST)
+        from_where = [a for a in dict.fromkeys((*self.seeds, *self.lately))
+                      if a != self.row.address and (self.stage is not Stage.IN or a not in live)]
+        return self.sample(from_where, min(SEEDS, len(from_where)))
+
+    def welcomed(self, now: int, known: Row | None) -> Row | None:
+        """Somebody answered, and `known` is what is known of our name there: our row from now on, or None
+        where another holds the name and is asked first."""
+        if self.stage not in (Stage.ALONE, Stage.DISPLACED):
+            return None
+        if known is not None and known.life != self.row.life:
+            if known.live() and known.address != self.row.address and not self._given_up(now, known):
+                return None
+            if known.number >= self.row.number:       # an earlier start of ours, on a clock that went ahead
+                self.row = self.row.now(Status.JOINING, began(0, self.row.number, known.number))
+        self.stage, self.since, self.next = Stage.JOINING, now, now
+        self.row = self.row.now(Status.JOINING)
+        return self.row
+
+    def _given_up(self, now: int, holder: Row) -> bool:
+        """Whether the holder of our name has had its time to answer and did not."""
+        if self.challenged is None or self.challenged[0].life != holder.life:
+            self.challenged = holder, now
+            return False
+        return now - self.challenged[1] > CHALLENGE
+
+    def outlived(self, now: int, holder: Row) -> bool:
+        """Whether a row of another process under this name may be passed over: asked, it never answered."""
+        return self._given_up(now, holder)
+
+    def above(self, number: int) -> Row:
+        """This start's row under a number above that one."""
+        self.row = self.row.now(self.row.status, began(0, self.row.number, number))
+        return self.row
+
+    def holder_answered(self) -> None:
+        """It holds the name: this one stays out."""
+        self.challenged, self.stage = None, Stage.DISPLACED
+
+    def read(self, now: int, differing: int) -> Row | None:
+        """The view has been read, all but a few parts or long enough: in, from now on."""
+        if self.stage is Stage.JOINING and (differing <= 2 or now - self.since > READ):
+            self.stage, self.next = Stage.IN, now + RETRY
+            self.row = self.row.now(Status.ALIVE)
+            return self.row
+        return None
+
+    def refutes(self, now: int) -> bool:
+        """Whether to contradict an accusation now: one that goes on being accused does so ever more seldom,
+        what others hear of it speaks louder."""
+        if self.stage is not Stage.IN or now - self.refuted_at < self.refute:
+            return False
+        often = now - self.refuted_at < 4 * self.refute
+        self.refute = min(2 * self.refute, REFUTE_LONGEST) if often else REFUTE
+        self.refuted_at = now
+        return True
+
+    def refuted(self) -> Row:
+        """The same under a higher number."""
+        self.row = self.row.now(self.row.status, self.row.number + 1)
+        return self.row
+
+    def removed(self, now: int, number: int, addresses: list[str]) -> None:
+        """All others hold this one for dead. It stays out for a while."""
+        if self.stage is not Stage.OUT:
+            self.stage, self.settling = Stage.OUT, None
+            self.removals += 1
+            self.lately = self.sample(addresses, min(self.KNOWN, len(addresses)))
+        self.row = self.row.now(Status.JOINING, max(self.row.number, number))
+
+    def settle(self) -> int:
+        return min(SETTLE << min(self.removals - 1, 6), SETTLE_LONGEST)
+
+    def back(self, now: int, failing: float, heard: bool) -> Row | None:
+        """Out: whether it has been well for long enough to come in again."""
+        if self.stage is not Stage.OUT:
+            return None
+        if failing > WELL or not heard:
+            self.settling = None
+            return None
+        if self.settling is None:
+            self.settling = now
+        if now - self.settling < self.settle():
+            return None
+        self.stage, self.next, self.pause = Stage.ALONE, now, ASK
+        self.row = self.row.now(Status.JOINING, self.row.number + 1)
+        return self.row
+
+    def kept(self) -> int:
+        """The number that a disk should keep: the next start takes one above it."""
+        return self.row.number // TURNS * TURNS
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -7,7 +7,7 @@
 
 from gullyoke.operator import operator_pb2 as schema
 from gullyoke.operator.checked import parsed
-from gullyoke.operator.wanted import Address, BackEnd, Classed, Ejecting, Kept, Pooled, Wanted, Way
+from gullyoke.operator.wanted import Address, BackEnd, Classed, Ejecting, Kept, Pooled, Together, Wanted, Way
 
 
 def read(path: str) -> Wanted:
@@ -41,6 +41,12 @@
         least, most = bounds_of(one)
         if least > most:
             yield f"backends.backend[{i}].most", f"{most} is under least; right would be {least} or more"
+    own = {found.fleet.listen, found.fleet.advertise}
+    for i, seed in enumerate(found.fleet.seed):
+        if seed in found.fleet.seed[:i]:
+            yield f"fleet.seed[{i}]", f"{seed!r} stands twice; right would be once"
+    if found.HasField("fleet") and found.fleet.status in own:
+        yield "fleet.status", "it is the address of the datagrams; right would be one of its own"
     eject = found.backends.ejection
     first = eject.first_out_ms or 1000
     if eject.HasField("longest_out_ms") and eject.longest_out_ms < first:
@@ -74,8 +80,9 @@
     if found.HasField("store"):
         quota = found.store.quota_mb if found.store.HasField("quota_mb") else 16
         kept = Kept(found.store.folder, quota * 2**20)
+    fleet = together(found.fleet) if found.HasField("fleet") else None
     if not found.HasField("backends"):
-        return Wanted(json_log, ways, None, classed, kept)
+        return Wanted(json_log, ways, None, classed, kept, fleet)
     told, eject = found.backends, found.backends.ejection
 
     def said(message: Message, name: str, default):
@@ -91,4 +98,10 @@
     return Wanted(json_log, ways, Pooled(
         back_ends, said(told, "linger_ms", 2000) * 1000, told.stops_on_close,
         said(told, "answer_kb", 64) * 1024, said(told, "first_limit", 8), said(told, "retry_share", 0.1),
-        said(told, "retry_burst", 10.0), ejecting), classed, kept)
+        said(told, "retry_burst", 10.0), ejecting), classed, kept, fleet)
+
+
+def together(found: schema.Fleet) -> Together:
+    return Together(found.name, address(found.listen), found.advertise or found.listen, tuple(found.seed),
+                    found.zone or "-", found.key_file, address(found.status) if found.status else None,
+                    found.size)
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -68,6 +68,18 @@
     quota: int
 
 
+class Together(NamedTuple):
+    """The fleet that this server is a member of, and how the others are reached."""
+    name: str
+    listen: tuple[str, int]
+    advertise: str
+    seeds: tuple[str, ...]
+    zone: str
+    key_file: str
+    status: tuple[str, int] | None
+    size: bool
+
+
 class Wanted(NamedTuple):
     """All of it."""
     json_log: bool
@@ -75,3 +87,4 @@
     pool: Pooled | None
     classed: Classed | None = None
     kept: Kept | None = None
+    fleet: Together | None = None
--- /dev/null
+++ b/gullyoke/peers/ask.py
@@ -0,0 +1,86 @@
+"""What an operator asks a running server on loopback: its view, its last changes. One line in, JSON out."""
+from __future__ import annotations
+
+import socket
+import threading
+
+import msgspec
+
+from gullyoke.core import clock
+from gullyoke.core.book import Book
+from gullyoke.members.row import TURNS
+from gullyoke.peers.link import Link
+
+PATIENCE, LINE = 1.0, 64               # seconds for a whole question, and its bytes
+
+
+class Answers(threading.Thread):
+    """One asker at a time, none for longer than PATIENCE: what is asked costs the members' lock for a
+    copy."""
+
+    def __init__(self, address: tuple[str, int], link: Link, book: Book) -> None:
+        """Raises `OSError` where it can't listen."""
+        super().__init__(name="fleet-status", daemon=True)
+        self.sock = socket.create_server(address, backlog=8)
+        self.link, self.book, self.ended = link, book, False
+
+    def run(self) -> None:
+        while not self.ended:
+            try:
+                conn, _ = self.sock.accept()
+            except OSError:
+                return
+            try:
+                with conn:
+                    conn.settimeout(PATIENCE)
+                    self.answer(conn)
+            except OSError:
+                self.book.add("fleet.status.broken")
+            except Exception:
+                self.book.fault("fleet-status")
+
+    def answer(self, conn: socket.socket) -> None:
+        line = b""
+        while b"\n" not in line and len(line) <= LINE:
+            more = conn.recv(LINE)
+            if not more:
+                return
+            line += more
+        asked = line.partition(b"\n")[0].strip()
+        with self.link.lock:
+            found = {b"status": status, b"events": events}.get(asked, unknown)(self.link)
+        conn.sendall(msgspec.json.encode(found) + b"\n")
+
+    def end(self) -> None:
+        self.ended = True
+        self.sock.close()
+
+
+def unknown(link: Link) -> dict:
+    return {"fault": "right would be status or events"}
+
+
+def status(link: Link) -> dict:
+    """The view as it stands here; times in ms."""
+    one, now = link.member, clock.now()
+    size = one.size(now)
+    rows = []
+    for row in sorted(one.view.rows.values(), key=lambda row: row.name):
+        edge = one.edges.get(row.id)
+        rows.append({"name": row.name, "state": one.state(now, row), "zone": row.zone, "address": row.address,
+                     "start": row.number // TURNS, "refuted": row.number % TURNS,
+                     "accused_by": len(one.tally.accusers(row.id, row.number)),
+                     "round_trip_ms": round(edge.rtt / 1000, 2) if edge is not None and edge.rtt else None})
+    return {"name": one.row.name, "stage": one.entry.stage.value, "view": one.view.number,
+            "digest": f"{one.view.digest:016x}", "members": size.members, "seen": size.seen,
+            "age_ms": size.age // 1000, "confidence": round(size.confidence, 2),
+            "unsure": one.trust.unsure(now), "failing": round(one.trust.failing, 2),
+            "lost": round(one.trust.lost, 2), "rows": rows}
+
+
+def events(link: Link) -> dict:
+    """The last changes with their evidence; how long ago, in ms."""
+    one, now = link.member, clock.now()
+    return {"name": one.row.name, "events": [
+        {"ago_ms": (now - e.at) // 1000, "view": e.number, "what": e.what, "name": e.name, "status": e.status,
+         "by": e.by, "evidence": e.evidence} for e in one.history.events]}
--- /dev/null
+++ b/gullyoke/peers/kept.py
@@ -0,0 +1,43 @@
+"""The start's number on a lasting disk, so that the next start takes one above it, whatever the clock
+says."""
+from __future__ import annotations
+
+import os
+
+from gullyoke.core.book import Book, log, pairs
+
+KEY, FOLDER, QUOTA = "number", "fleet", 2**20
+
+
+class Number:
+    """`folder` None: nothing is kept, and the others' memory and the clock must do. A disk that fails is said
+    and counted, never waited for."""
+
+    def __init__(self, folder: str | None, book: Book) -> None:
+        self.book, self.latest, self.committer, self._known = book, 0, None, 0
+        if folder is None:
+            return
+        from gullyoke.store import Committer, Disk, Store
+        try:
+            os.makedirs(os.path.join(folder, FOLDER), exist_ok=True)
+            store = Store(Disk(os.path.join(folder, FOLDER)), roll=4096, quota=QUOTA)
+            self._known = int.from_bytes(store.get(KEY) or b"", "big")
+            self.committer = Committer(store)
+        except OSError as fault:
+            book.add("fleet.unkept")
+            log.error("fleet number not kept", extra=pairs(folder=folder, why=fault))
+
+    def known(self) -> int:
+        """What the last start kept, 0 where there is none."""
+        return self._known
+
+    def keep(self, number: int) -> None:
+        self.latest = number
+        if self.committer is not None:
+            def told(durable: bool) -> None:
+                self.book.add("fleet.kept" if durable else "fleet.unkept")
+            self.committer.put(KEY, number.to_bytes(8, "big"), told)
+
+    def close(self) -> None:
+        if self.committer is not None:
+            self.committer.close()
--- /dev/null
+++ b/gullyoke/peers/link.py
@@ -0,0 +1,156 @@
+"""The datagrams of one member: a socket, a thread with a small stack that hears, takes its turns and sends.
+
+What comes is only used if it is whole, verifies, is new and of this fleet; all else is dropped and counted.
+No lock but its own small one, under which nothing waits; a fault here ends no thread and touches no req."""
+from __future__ import annotations
+
+import errno
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+
+from gullyoke.core import clock
+from gullyoke.core.book import Book
+from gullyoke.members import TICK, Member
+from gullyoke.members.words import Send
+from gullyoke.peers import codec
+from gullyoke.peers.seal import Counts, Seal
+
+BUFFER = 2**20                         # bytes that the system keeps of what was not read yet
+TELLS = getattr(socket, "IP_RECVERR", 11)      # Linux: what other machines refuse is told on this socket
+TOLD = getattr(socket, "MSG_ERRQUEUE", 0x2000)
+BURST = 256                            # datagrams heard in one turn, so that turns come in time
+KNOWN = 4096                           # addresses that are kept in the system's form
+
+
+class Link(threading.Thread):
+    """Tables: `known`, addresses in the system's form, emptied when there are KNOWN."""
+
+    def __init__(self, listen: tuple[str, int], seal: Seal, book: Book) -> None:
+        """Raises `OSError` where it can't listen there."""
+        super().__init__(name="peers", daemon=True)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(listen)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        try:
+            self.sock.setsockopt(socket.IPPROTO_IP, TELLS, 1)
+        except OSError:                               # silence alone must do then
+            book.add("peers.no_refusals")
+        self.address = self.sock.getsockname()
+        self.seal, self.book, self.counts = seal, book, Counts()
+        self.member: Member | None = None
+        self.lock = threading.Lock()
+        self.known: dict[str, tuple[str, int]] = {}
+        self.due, self.ended = 0, threading.Event()
+
+    def begin(self, member: Member) -> None:
+        self.member = member
+        self.start()
+
+    def run(self) -> None:
+        while not self.ended.is_set():
+            try:
+                self.turn()
+            except Exception:                         # an error of our own ends one turn, not the thread
+                self.book.fault("peers")
+                time.sleep(0.05)
+
+    def turn(self) -> None:
+        """Hear what comes until the next turn is due, then take it."""
+        now = clock.now()
+        if now >= self.due:
+            self.due = now + TICK
+            self.act(lambda: self.member.tick(now))
+        self.sock.settimeout(max(0.0005, (self.due - clock.now()) / 1e6))
+        for _ in range(BURST):
+            try:
+                data = self.sock.recv(codec.LONGEST + 1)
+            except TimeoutError:
+                return
+            except OSError as fault:
+                if fault.errno in (errno.EBADF, errno.EINVAL):
+                    return
+                self.refusals()                       # what an earlier datagram met comes up here
+                return
+            self.heard(data)
+            if clock.now() >= self.due:
+                return
+
+    def heard(self, data: bytes) -> None:
+        self.book.add("peers.heard")
+        opened = self.seal.open(data) if len(data) <= codec.LONGEST else None
+        if opened is None:
+            self.book.add("peers.dropped.seal")
+            return
+        try:
+            message = codec.unpack(opened[0])
+        except codec.Malformed:
+            self.book.add("peers.dropped.malformed")
+            return
+        if not self.counts.fresh(message.row.life, opened[1]):
+            self.book.add("peers.dropped.old")
+            return
+        now = clock.now()
+        self.act(lambda: self.member.hear(now, message))
+
+    def act(self, act: Callable[[], None]) -> None:
+        """Let the decisions go on, and send what they want sent."""
+        with self.lock:
+            act()
+            out = self.member.take()
+        for send in out:
+            self.send(send)
+
+    def send(self, send: Send) -> None:
+        data = self.seal.seal(codec.pack(send.message))
+        if len(data) > codec.LONGEST:
+            self.book.add("peers.too_long")
+            return
+        try:
+            self.sock.sendto(data, self.system(send.address))
+            self.book.add("peers.sent")
+        except OSError as fault:
+            self.book.add("peers.unsent")
+            if fault.errno == errno.ECONNREFUSED:     # an earlier one's: this one was not sent
+                self.refusals()
+
+    def system(self, address: str) -> tuple[str, int]:
+        found = self.known.get(address)
+        if found is None:
+            host, _, port = address.rpartition(":")
+            if len(self.known) >= KNOWN:
+                self.known.clear()
+            found = self.known[address] = host, int(port) if port.isdigit() and int(port) < 65536 else 0
+        return found
+
+    def refusals(self) -> None:
+        """What machines said of datagrams sent: that nobody listens there."""
+        while True:
+            try:
+                _, extra, _, address = self.sock.recvmsg(64, 512, TOLD | socket.MSG_DONTWAIT)
+            except OSError:
+                return
+            for level, kind, data in extra:
+                if level == socket.IPPROTO_IP and kind == TELLS and len(data) >= 4 \
+                        and struct.unpack("I", data[:4])[0] == errno.ECONNREFUSED:
+                    self.book.add("peers.refused")
+                    self.refused("{}:{}".format(*address[:2]))
+
+    def refused(self, address: str) -> None:
+        now = clock.now()
+
+        def act() -> None:
+            for row in list(self.member.view.rows.values()):
+                if row.address == address and row.id != self.member.id:
+                    self.member.refused(now, row.id)
+
+        self.act(act)
+
+    def end(self) -> None:
+        self.ended.set()
+        try:
+            self.sock.close()
+        except OSError:
+            pass
--- /dev/null
+++ b/tests/members/test_members.py
@@ -0,0 +1,293 @@
+"""Plays the scenarios of membership in the emulator's clock; each guard shown to matter by taking it out."""
+import contextlib
+import pathlib
+import re
+import unittest
+from unittest import mock
+
+from gullyoke.emulator.peers import SECOND, fleet
+from gullyoke.members import edge, member, tally, trust
+from gullyoke.members.row import identity
+
+HERE = pathlib.Path(__file__).parent
+
+
+def names(net, text):
+    """`m1`, `m1..m4`, `zone z1`, `all` or `rest` (all who are up and were never named before)."""
+    found = []
+    for part in text.split(","):
+        if part == "all":
+            found += [h.name for h in net.up()]
+        elif part.startswith("z"):
+            found += [h.name for h in net.hosts.values() if h.zone == part]
+        elif (span := re.fullmatch(r"m(\d+)\.\.m(\d+)", part)):
+            found += [f"m{i}" for i in range(int(span[1]), int(span[2]) + 1)]
+        else:
+            found.append(part)
+    return found
+
+
+class Play:
+    """One scenario under one seed; tests/README.md has the notation."""
+
+    def __init__(self, seed):
+        self.seed, self.net, self.cuts, self.may = seed, None, [], set()
+
+    def line(self, words):
+        verb, rest = words[0], words[1:]
+        getattr(self, f"at_{verb}")(*rest)
+
+    def at_fleet(self, size, *given):
+        told = dict(x.split("=", 1) for x in given)
+        known = {"loss": float, "doubled": float}
+        network = {key: make(told[key]) for key, make in known.items() if key in told}
+        if "delay" in told:
+            network["delay"] = tuple(int(x) * 1000 for x in told["delay"].split(".."))
+        self.net = fleet(int(size), self.seed, int(told.get("zones", 3)), joined="joined" in told, **network)
+        self.net.cut = self.lost
+        if "joined" not in told:
+            assert self.net.equal(), "the fleet never came together"
+
+    def lost(self, now, a, b):
+        return max((share for from_, to, share in self.cuts if a.name in from_ and b.name in to), default=0.0)
+
+    def at_cut(self, from_, arrow, to, share="1.0"):
+        """`cut A -> B [SHARE]` one way, `cut A <> B` both."""
+        one, other = set(names(self.net, from_)), set(names(self.net, to))
+        if to == "rest":
+            other = set(self.net.hosts) - one
+        self.cuts.append((one, other, float(share)))
+        if arrow == "<>":
+            self.cuts.append((other, one, float(share)))
+
+    def at_heal(self):
+        self.cuts.clear()
+
+    def at_kill(self, who):
+        for name in names(self.net, who):
+            self.net.kill(name)
+
+    def at_drop(self, who):
+        """The machine is gone: nobody says that nobody is there."""
+        for name in names(self.net, who):
+            self.net.kill(name, refuses=False)
+
+    def at_pause(self, who, span):
+        for name in names(self.net, who):
+            self.net.pause(name, int(float(span) * SECOND))
+
+    def at_leave(self, who):
+        for name in names(self.net, who):
+            self.net.leave(name)
+
+    def at_start(self, who, *given):
+        """Starts, or starts again: `seeds=`, `behind=` seconds of a clock that went back, `as=` a name."""
+        told = dict(x.split("=", 1) for x in given)
+        seeds = told.get("seeds", "m0,m1,m2").split(",")
+        for name in names(self.net, who):
+            self.net.start(told.get("as", name), seeds, told.get("zone", "z0"),
+                           behind=int(told.get("behind", 0)), address=name, host=name)
+
+    def at_play(self, span):
+        self.net.run(self.net.now + int(float(span) * SECOND))
+
+    # What must be so.
+
+    def at_within(self, span, verb, *rest):
+        """`within 5 gone m1`, `within 5 equal`, `within 3 stage m1 out`, `within 4 sees m0 m1
+        unreachable`."""
+        asks = {"gone": self.gone, "equal": self.net.equal, "stage": self.stage, "sees": self.sees,
+                "holds": self.holds}
+        if verb == "gone":
+            self.may |= set(names(self.net, rest[0]))
+        began = self.net.now
+        ok = self.net.run(began + int(float(span) * SECOND), lambda: asks[verb](*rest))
+        assert ok, f"not within {span} s: {verb} {' '.join(rest)}"
+
+    def gone(self, who):
+        gone = {identity(name) for name in names(self.net, who)}
+        return not any(gone & h.member.view.rows.keys() for h in self.net.up()
+                       if identity(h.name) not in gone)
+
+    def stage(self, who, wanted):
+        return all(self.net.hosts[name].member.entry.stage.value == wanted for name in names(self.net, who))
+
+    def sees(self, by, who, state):
+        one = self.net.hosts[by].member
+        found = [one.state(self.net.now, one.view.rows[identity(name)]) == state
+                 for name in names(self.net, who)]
+        return sum(found) >= 0.75 * len(found)        # of some it has not been told
+
+    def holds(self, by, who):
+        """Whether this process is the one that all others hold under a name."""
+        life = self.net.hosts[by].member.row.life
+        return all(h.member.view.rows.get(identity(who)) is not None
+                   and h.member.view.rows[identity(who)].life == life
+                   for h in self.net.up() if h.name != who)
+
+    def at_removed(self, *who):
+        """Exactly these were ever removed by anybody; `removed none`."""
+        found = {s.change.row.name for s in self.net.seen if s.change.what == "removed"}
+        wanted = set() if who == ("none",) else {name for x in who for name in names(self.net, x)}
+        assert found == wanted, f"removed {sorted(found)}"
+
+    def at_once(self, who):
+        """Nobody's view removed any of these more than once."""
+        for name in names(self.net, who):
+            by = [s.by for s in self.net.removed(name)]
+            assert len(by) == len(set(by)), f"{name} removed more than once"
+
+    def at_size(self, by, members, *usable):
+        """What the fleet's size in force is there, with 100 as it was told at the start."""
+        got = self.net.hosts[by].member.size(self.net.now)
+        assert got.in_force(100) == int(members), f"{got}"
+
+    def at_sent(self, most):
+        """Messages a second that a member sent since the fleet came together, the mean."""
+        up = self.net.up()
+        rate = sum(h.sent for h in up) / len(up) / (self.net.now / 1e6)
+        assert rate <= float(most), f"{rate:.1f} messages a second"
+
+    def at_numbers(self, who):
+        """A member's number is above all that was ever known under its name."""
+        for name in names(self.net, who):
+            most = max(s.change.row.number for s in self.net.seen if s.change.row.name == name)
+            assert self.net.hosts[name].member.row.number >= most
+
+
+def play(path, seed):
+    scene = Play(seed)
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        line = line.partition("#")[0].split()
+        if line and line[0] != "seeds":
+            try:
+                scene.line(line)
+            except AssertionError as fault:
+                raise AssertionError(f"{path.stem}:{number}, seed {seed}: {fault}") from None
+
+
+def seeds(path):
+    first = path.read_text().splitlines()[0].split()
+    return range(int(first[1]) if first[0] == "seeds" else 3)
+
+
+class Members(unittest.TestCase):
+    def test_scenarios(self):
+        paths = sorted(HERE.glob("*.txt"))
+        self.assertTrue(paths)
+        for path in paths:
+            with self.subTest(path.stem):
+                for seed in seeds(path):
+                    play(path, seed)
+
+    def test_guards(self):
+        """Each of these scenarios fails where its guard is taken out: guards against tests that pass whatever
+        the rule says. Where another guard covers the same ground that one is out in both plays, so that what
+        is shown is this one alone."""
+        def without(where, **names):
+            return mock.patch.multiple(where, **names)
+
+        nothing = mock.Mock(return_value=False)
+        for name, guard, covering in (
+                ("pauses", without(tally, HOLD=0), ()),
+                ("pair", without(tally, SHARE=0.1, LEAST=1), (without(member, HELPERS=0),)),
+                ("halves", without(trust.Trust, sees_most=mock.Mock(return_value=True)), ()),
+                ("clock-back", without("gullyoke.members.entry", began=lambda _, kept=0, known=0: kept), ()),
+                ("deaf3", without(trust.Trust, unsure=nothing), ()),
+                ("half-deaf", without("gullyoke.members.entry", WELL=1.1), ()),
+                ("loss", without(edge, SILENT=100_000, TRIES=1), (without(tally, HOLD=0),))):
+            with self.subTest(name), contextlib.ExitStack() as stack:
+                for one in covering:
+                    stack.enter_context(one)
+                play(HERE / f"{name}.txt", 0)
+                stack.enter_context(guard)
+                with self.assertRaises(AssertionError):
+                    for seed in range(8):
+                        play(HERE / f"{name}.txt", seed)
+
+    def test_own_pause(self):
+        """A member that wakes asks before it accuses: what went unanswered while it stood still says nothing.
+        Here it was in doubt already, through loss that ended while it stood still."""
+        def accused(guard):
+            with contextlib.ExitStack() as stack:
+                if not guard:
+                    stack.enter_context(mock.patch.object(trust.Trust, "paused", lambda *_: False))
+                net = fleet(3, 4, joined=True)
+                net.cut = lambda now, a, b: 1.0
+                net.run(net.now + 1_450_000)
+                net.pause("m0", SECOND)
+                net.cut = None
+                net.run(net.now + SECOND + 50_000)
+                return len(net.hosts["m0"].member.report.entries)
+
+        self.assertEqual((accused(True), accused(False) > 0), (0, True))
+
+    def test_refutation(self):
+        """An accusation that outlives its cause is contradicted by the accused: without that, those who hear
+        no withdrawal would go on counting it."""
+        def told(refutes):
+            with contextlib.ExitStack() as stack:
+                if not refutes:
+                    stack.enter_context(mock.patch("gullyoke.members.entry.Entry.refutes", lambda *_: False))
+                net = fleet(5, 1)
+                accused = net.hosts["m1"].member
+                before = accused.row.number
+                net.pause("m1", 2 * SECOND)
+                net.run(net.now + 6 * SECOND)
+                return accused.row.number - before, len(net.removed("m1"))
+
+        refuted, removed = told(True)
+        self.assertEqual((refuted >= 1, removed), (True, 0))
+        self.assertEqual(told(False)[0], 0)
+
+    def test_no_seed_listens(self):
+        """One whose seeds are all strange goes on alone, and says so; nothing is sent without bound."""
+        net = fleet(1, 3)
+        net.start("lone", ["nowhere1", "nowhere2", "nowhere3"])
+        net.run(net.now + 60 * SECOND)
+        lone = net.hosts["lone"]
+        self.assertEqual((lone.member.entry.stage.value, len(lone.member.view)), ("alone", 1))
+        self.assertLess(lone.sent, 100)
+        self.assertEqual(lone.member.size(net.now).in_force(12), 12)
+
+    def test_same_events_same_actions(self):
+        """Two plays under one seed are the same to the message."""
+        def once():
+            net = fleet(9, 5, loss=0.2)
+            net.pause("m3", 2 * SECOND)
+            net.kill("m5")
+            net.run(net.now + 8 * SECOND)
+            return [(s.at, s.by, s.change.what, s.change.row.digest) for s in net.seen], \
+                [h.sent for h in net.hosts.values()]
+        self.assertEqual(once(), once())
+
+    def test_bounds(self):
+        """Every datagram that a member sends in a fleet of 60 fits, joining, a third lost, healing."""
+        from gullyoke.emulator.peers import HEAD, weight
+        net = fleet(60, 2, joined=True)
+        worst = 0
+        plain = net._out
+
+        def weighed(host):
+            nonlocal worst
+            for send in host.member.out:
+                worst = max(worst, HEAD + weight(send.message))
+            plain(host)
+
+        net._out = weighed
+        left = {f"m{i}" for i in range(20)}
+        net.cut = lambda now, a, b: 1.0 if (a.name in left) != (b.name in left) else 0.0
+        net.run(net.now + 12 * SECOND)
+        net.cut = None
+        net.run(net.now + 20 * SECOND, net.equal)
+        self.assertTrue(net.equal())
+        self.assertLess(worst, 1200)
+        for host in net.up():
+            one = host.member
+            self.assertLessEqual(len(one.relays), member.RELAYS)
+            self.assertLessEqual(len(one.askings), member.RELAYS)
+            self.assertLessEqual(one.news.bytes, 64 * 1024)
+
+
+if __name__ == "__main__":
+    unittest.main()
