--- a/gullyoke/codec/http.py
+++ b/gullyoke/codec/http.py
@@ -10,6 +10,8 @@
 HEAD, BODY = 4096, 8192                # the longest that are read, in bytes
 BUFFER = HEAD + BODY
 VERSIONS = ("HTTP/1.0", "HTTP/1.1")     # what an answer begins with, where the request's first word stands
+NAMES: dict[str, str] = {}             # fields' names as they came, and in lower case; kept for good
+MOST = 128                             # of them
 
 
 def read(buffer: Buffer, begun: Callable[[], None] = lambda: None) -> Message | None:
@@ -35,12 +37,11 @@
     fields: dict[str, str] = {}
     for line in lines[1:]:
         name, mark, value = line.partition(":")
-        name = name.lower()
-        if not mark or not name or name != name.strip():
+        name, value = NAMES.get(name) or named(name), value.strip()
+        if not mark:
             raise Unfit(400, "field")
-        if name in fields and fields[name] != value.strip():
+        if fields.setdefault(name, value) != value:
             raise Unfit(400, f"two values of {name}")
-        fields[name] = value.strip()
     if "transfer-encoding" in fields:
         raise Unfit(501, "transfer coding")
     text = fields.get("content-length", "" if first[0] == "POST" else "0")
@@ -55,6 +56,16 @@
     return Message(first, fields, body)
 
 
+def named(name: str) -> str:
+    """A field's name in lower case. Most names come with every message, and are looked up from then on."""
+    low = name.lower()
+    if not low or low != low.strip():
+        raise Unfit(400, "field")
+    if len(NAMES) < MOST:
+        NAMES[name] = low
+    return low
+
+
 def more(buffer: Buffer) -> None:
     if not buffer.fill():
         raise Ended(End.CUT)
--- a/gullyoke/core/desk.py
+++ b/gullyoke/core/desk.py
@@ -36,8 +36,9 @@
 
 class Desk:
     """`handle` is the way in for everything that the decisions hear. Tables: `reqs` in hand, which leave at
-    their end; `later`, words that came of handling, told before the lock is let go; `notes`, log lines;
-    `thoughts`, work in pieces, one new episode at most for each that began."""
+    their end; `later`, words that came of handling, told before the lock is let go; `gates`, of reqs answered
+    in it, opened right after; `notes`, log lines; `thoughts`, work in pieces, one new episode at most for
+    each that began."""
 
     def __init__(self, facts: Facts, seed: int, book: Book) -> None:
         self.facts, self.seed, self.book = facts, seed, book
@@ -46,9 +47,12 @@
         self.lock, self.answering = threading.Lock(), threading.Lock()
         self.server: Server | None = None
         self.door = None
+        self.flush: Callable[[], None] = lambda: None # what was given under the lock goes out after it
         self.reqs: dict[str, Taken] = {}
         self.repeats = Repeats(facts.fleet.fresh_for)
         self.later: deque[tuple[Taken, Word]] = deque()
+        self.gates: list[threading.Lock] = []
+        self.handling = False
         self.notes: deque[str] = deque(maxlen=100)
         self.thoughts: queue.SimpleQueue[Iterator] = queue.SimpleQueue()
         self.now, self.stop_at = clock.now(), None
@@ -81,7 +85,7 @@
             return
         try:
             if self.server is not None:
-                self.now = clock.now()
+                self.now, self.handling = clock.now(), True
                 self._try(act, req)
                 self._try(lambda: self.server.settle(self.now), None)
                 while self.later:
@@ -89,7 +93,11 @@
                     self._try(lambda late=late, word=word: self.server.tell(self.now, late, word), late)
                     self._try(lambda: self.server.settle(self.now), None)
         finally:
+            gates, self.gates, self.handling = self.gates, [], False
             self.lock.release()
+        for gate in gates:                            # opened earlier, their threads would wait for this one
+            gate.release()
+        self.flush()
         while self.notes:
             log.info(self.notes.popleft())
 
@@ -147,7 +155,10 @@
             if req.outcome is not None:
                 return
             req.outcome, req.answer = outcome, answer
-        req.gate.release()
+        if self.handling:
+            self.gates.append(req.gate)
+        else:
+            req.gate.release()
 
     def over(self, req: Taken) -> None:
         """Its life has ended; if it got no answer on its way it errored."""
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -79,6 +79,7 @@
         self.calls = told.sockets // CALLS
         works = [work for one in self.features if (work := one.work(told, self.book)) is not None]
         self.work: Work = works[0] if works else Engine(told.engine, told.facts.machine.gauges, self.book)
+        self.desk.flush = self.work.flush
         self.database = Database(told.database, self.calls, self.timer, self.book)
         self.standing = Standing(told.facts.permits.longest_idle)
         self.route = Route(self.desk, self.work, self.database, self.timer, self.standing)
--- a/gullyoke/front/admit.py
+++ b/gullyoke/front/admit.py
@@ -11,6 +11,7 @@
 LONGEST = 24 * 3600 * 1000             # ms; no caller waits longer, and no stamp is older
 
 
+ID = re.compile(r"[0-9a-fA-F]{16}")
 FIGURE = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
@@ -46,7 +47,7 @@
         raise Unfit(404, "handler")
     fields = message.fields
     tid = fields.get("trace-id", "")
-    if len(tid) != 16 or not set(tid) <= set("0123456789abcdefABCDEF"):
+    if not ID.fullmatch(tid):
         raise Unfit(400, "field trace-id")
     customer = fields.get("project")
     if customer is not None and customer not in desk.customers:
--- a/gullyoke/work/backends.py
+++ b/gullyoke/work/backends.py
@@ -105,6 +105,9 @@
                 shut(sock)
         self.follow(moves, self.heard.desk.soon)
 
+    def flush(self) -> None:
+        """Each run has a thread of its own, which sends it."""
+
     def stat(self, tag: int) -> None:
         """The decisions' wake-up: the line moves on, and they hear how the pool stands."""
         with self.lock:
--- a/gullyoke/work/engine.py
+++ b/gullyoke/work/engine.py
@@ -28,7 +28,8 @@
 
 class Engine:
     """Tables: `outbox`, commands not yet written; `sent`, written since the last gauges that were answered,
-    which prove that the engine read what was written before. Both hold a few for each req in hand."""
+    which prove that the engine read what was written before. Both hold a few for each req in hand. `rest` is
+    what the link did not take at once of the last command; `writing`, whether the thread writes."""
 
     def __init__(self, address: tuple[str, int], gauges: tuple[str, ...], book: Book) -> None:
         self.address, self.gauges, self.book, self.heard = address, gauges, book, None
@@ -37,6 +38,7 @@
         self.sent: deque[Sent] = deque()
         self.sock: socket.socket | None = None
         self.last, self.marks, self.mark, self.attached = 0, 0, "", False
+        self.rest, self.writing = b"", False
         self.moved = threading.Event()
 
     def start(self, heard) -> None:
@@ -70,6 +72,7 @@
     def stat(self, tag: int) -> None:
         if self.attached:                             # without a link they would pile up
             self._put(Sent(command("STAT", tag), tag=tag))
+            self.flush()
 
     def _give(self, req, data: bytes) -> None:
         self._put(Sent(data, req, req.noticed))
@@ -77,21 +80,46 @@
     def _put(self, sent: Sent) -> None:
         with self.bell:
             self.outbox.append(sent)
-            self.bell.notify()
+
+    def flush(self) -> None:
+        """Write what was given, where the link takes it without waiting: that saves a change of threads for
+        each command. What it does not take is left to the writing thread. Called without the desk's lock."""
+        with self.bell:
+            if not self.outbox or not self.attached or self.rest or self.writing:
+                return                                # the writing thread is at it, or will be
+            batch = list(self.outbox)
+            self.outbox.clear()
+            self.sent.extend(batch)                   # a send that breaks may have carried any part of it
+            data = b"".join(s.data for s in batch)
+            try:
+                took = self.sock.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                took = 0
+            except OSError:
+                shut(self.sock)                       # the reading side tells how it ended
+                return
+            if took < len(data):
+                self.rest = data[took:]
+                self.bell.notify()
+        self.book.add("engine.commands", len(batch))
 
     def write(self) -> None:
         """Write what there is, once there is something and a link to write it on."""
         with self.bell:
-            while not (self.attached and self.outbox):
+            while not (self.attached and (self.outbox or self.rest)):
                 self.bell.wait()
-            batch, sock = list(self.outbox), self.sock
+            batch, sock, rest = list(self.outbox), self.sock, self.rest
             self.outbox.clear()
             self.sent.extend(batch)                   # a send that breaks may have carried any part of it
+            self.rest, self.writing = b"", True
         try:
-            sock.sendall(b"".join(s.data for s in batch))
+            sock.sendall(rest + b"".join(s.data for s in batch))
             self.book.add("engine.commands", len(batch))
         except OSError:
             shut(sock)                                # the reading side tells how it ended
+        finally:
+            with self.bell:
+                self.writing = False
 
     # Notices.
 
@@ -177,7 +205,7 @@
                      and s.req.tid in self.heard.desk.reqs]
             self.sent.clear()
             self.outbox.extendleft(reversed(again))
-            self.attached, self.mark = True, ""
+            self.attached, self.mark, self.rest = True, "", b""     # the old link's rest is void
             self.bell.notify()
         if again:
             self.book.add("engine.repeated", len(again))
--- /dev/null
+++ b/tests/work/test_writing.py
@@ -0,0 +1,83 @@
+"""Commands to the engine and answers to gateways go out by the thread that made them, and in their order."""
+import contextlib
+import socket
+import threading
+import types
+import unittest
+
+from standins import site
+
+from gullyoke.core.book import Book
+from gullyoke.core.desk import Desk, Taken
+from gullyoke.core.message import Message
+from gullyoke.options import facts_of, flat
+from gullyoke.port import FAIL
+from gullyoke.work.engine import Engine
+
+
+def req(number):
+    return types.SimpleNamespace(tid=f"{number:016x}", handler=types.SimpleNamespace(name="view"), noticed=0,
+                                 message=Message(("", "", ""), {}, bytes([65 + number % 26]) * 2000))
+
+
+class Writing(unittest.TestCase):
+    def linked(self, stack):
+        """An engine's link whose other end nobody reads yet, with little room between."""
+        engine = Engine(("127.0.0.1", 1), (), Book())
+        ours, theirs = socket.socketpair()
+        stack.enter_context(ours)
+        stack.enter_context(theirs)
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        engine.sock, engine.attached = ours, True
+        threading.Thread(target=engine.book.forever, args=("engine", engine.write), daemon=True).start()
+        return engine, theirs
+
+    def test_full_link(self):
+        """A link that takes part of a command: the rest follows before anything else, and nobody who gives
+        commands waits for it. Guards against bytes of two commands mixed, and against a desk that stands
+        still behind an engine that does not read."""
+        with contextlib.ExitStack() as stack:
+            engine, theirs = self.linked(stack)
+            wanted = b""
+            for i in range(200):
+                engine.run(req(i))
+                engine.flush()
+                wanted += f"RUN {i:016x} view 2000\r\n".encode() + bytes([65 + i % 26]) * 2000 + b"\r\n"
+            theirs.settimeout(10)
+            got = b""
+            while len(got) < len(wanted):
+                got += theirs.recv(65536)
+            self.assertEqual(got, wanted)
+
+    def test_rest_is_void_on_a_new_link(self):
+        """What a broken link did not take of a command is not written to the next one: it would be garbled,
+        and the command is given again whole."""
+        with contextlib.ExitStack() as stack:
+            engine, theirs = self.linked(stack)
+            engine.heard = types.SimpleNamespace(desk=types.SimpleNamespace(reqs={}))
+            engine.rest = b"half a command\r\n"
+            engine.attached = False
+            one = req(1)
+            engine.heard.desk.reqs[one.tid] = one
+            engine.run(one)
+            engine.reattached()
+            theirs.settimeout(10)
+            self.assertEqual(theirs.recv(5), b"RUN 0")
+
+    def test_gates_open_after_the_lock(self):
+        """The thread that writes an answer is woken when the decisions are free again: woken before, it would
+        wait for the one that woke it."""
+        facts = facts_of(flat(site()))
+        desk = Desk(facts, 1, Book())
+        desk.door = types.SimpleNamespace(over=lambda _: None, do=None)
+        desk.server = types.SimpleNamespace(settle=lambda _: None)
+        one = Taken(facts.handlers[0], 0, 10**9, 1.0)
+        one.carry("1" * 16, None, Message(("", "", ""), {}, b""), "gateway")
+        locked = []
+        one.gate = types.SimpleNamespace(release=lambda: locked.append(desk.lock.locked()))
+        desk.handle(lambda: desk.answer(one, FAIL), one)
+        self.assertEqual(locked, [False])
+
+
+if __name__ == "__main__":
+    unittest.main()
