--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -129,10 +129,8 @@
                 step = faults.pop(0)
                 since = self.now()
                 self.happen(step)
-                # The checks on it: those due before the next fault.
-                following = faults[0].at if faults else float("inf")
-                waiting += [(c, since) for c in checks if step.at <= c.at <= max(following, step.at)]
-                checks = [c for c in checks if all(c is not w for w, _ in waiting)]
+                waiting += [(c, since) for c in checks if self.script.fault_of(c) is step]
+                checks = [c for c in checks if self.script.fault_of(c) is not step]
             for check, began in list(waiting):
                 so = getattr(self, check.what)(*check.words)
                 if so or self.now() > check.at:
--- a/gullyoke/rig/script.py
+++ b/gullyoke/rig/script.py
@@ -26,7 +26,7 @@
 
 
 class Step(NamedTuple):
-    """`what` with its words at `at` seconds; a check counts from the fault before it."""
+    """`what` with its words at `at` seconds; a check counts from the fault that stands above it."""
     at: float
     what: str
     words: tuple[str, ...]
@@ -46,6 +46,10 @@
     def names(self) -> list[str]:
         return [f"m{i}" for i in range(self.members)]
 
+    def fault_of(self, check: Step) -> Step | None:
+        """The fault that a check is on: the one that stands above it."""
+        return max((f for f in self.faults if f.line < check.line), key=lambda f: f.line, default=None)
+
     def zone(self, name: str) -> str:
         return f"z{int(name[1:]) % self.zones}"
 
--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import tempfile
+import threading
 import time
 import types
 import unittest
@@ -15,6 +16,7 @@
 from gullyoke.core.book import Book
 from gullyoke.features.fleet import Fleet
 from gullyoke.members import Member, Row, Status, began
+from gullyoke.members.size import Size
 from gullyoke.operator.read import read
 from gullyoke.operator.wanted import Faulty, Together
 from gullyoke.options import Misstated
@@ -131,6 +133,29 @@
             broken.keep(7)
             self.assertEqual((broken.known(), book.rows["fleet.unkept"]), (0, 1))
 
+    def test_size_for_the_decisions(self):
+        """The decisions go by the size agreed on where that is wanted and can be trusted, by the one told at
+        the start elsewhere."""
+        given = types.SimpleNamespace(size=12)
+        house = types.SimpleNamespace(told=types.SimpleNamespace(facts=types.SimpleNamespace(fleet=given)),
+                                      desk=types.SimpleNamespace(lock=threading.Lock()),
+                                      timer=types.SimpleNamespace(at=lambda *_: None))
+        wanted = Together("f", ("", 0), "", (), "-", "", None, True)
+        unit = Fleet("file", wanted, None)
+        unit.house, unit.told, unit.size = house, 12, 12
+        unit.link = types.SimpleNamespace(lock=threading.Lock())
+        sizes = []
+        unit.member = types.SimpleNamespace(size=lambda now: sizes[-1])
+        for size, expected in ((Size(7, 7, 0, 1.0), 7), (Size(7, 3, 0, 0.4), 12), (Size(9, 9, 0, 0.9), 9),
+                               (Size(9, 9, 40_000_000, 0.9), 12)):
+            sizes.append(size)
+            unit.look()
+            self.assertEqual(given.size, expected)
+        unit.wanted = wanted._replace(size=False)
+        sizes.append(Size(5, 5, 0, 1.0))
+        unit.look()
+        self.assertEqual(given.size, 12)
+
     def test_operator_file(self):
         """`fleet` as it is read, its faults, and a key file that can't be right: the one in force stays."""
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/members/test_rig.py
+++ b/tests/members/test_rig.py
@@ -13,25 +13,51 @@
 PLAY = """
 members 5 zones 5 seed 3 load 8
 at 0.5 kill m1
-by 5 gone m1
-at 4.5 start m1
-by 12 equal
-at 9 pause m3 3
-at 13.5 loss 0.2
-at 18 heal
-by 21 equal
-at 20 cut m0..m3 -> m4
-by 27 gone m4
-at 27 heal
-by 40 equal
-at 36 stop m0
-by 40 gone m0
+by 4 gone m1
+at 3.5 start m1
+by 7 equal
+at 6 pause m3 3
+at 9.5 loss 0.2
+at 12.5 heal
+by 15 equal
+at 13 cut m0..m3 -> m4
+by 19.5 gone m4
+at 19.5 heal
+by 28 equal
+at 26 stop m0
+by 30 gone m0
 never removed m0 m2 m3
-end 40
+end 28
+"""
+
+
+ROLLING = """
+members 5 zones 5 seed 4 load 8
+at 0.5 cut m0,m1 <> m2..m4
+by 7 gone m0,m1
+at 7 heal
+by 16 equal
+at 13 stop m2
+by 15.5 gone m2
+at 15.5 start m2
+by 19 equal
+at 19 stop m3
+by 21.5 gone m3
+at 21.5 start m3
+by 26 equal
+never removed m2 m3 m4
+end 26
 """
 
 
 class Rig(unittest.TestCase):
+    def test_split_and_rolling(self):
+        """A cut that leaves three of five together, its healing, and members replaced in turn: the smaller
+        side removes nobody, an orderly end is no removal, and every req is answered once."""
+        verdict = Play(read(ROLLING)).run()
+        self.assertTrue(verdict.good(), [one for one in verdict.held if not one.held])
+        self.assertEqual({what for what in verdict.reqs if what in ("none", "twice", "late")}, set())
+
     def test_faults(self):
         """A process killed, one that stands still for 3 s, loss, one that hears nobody, an orderly end: those
         who are well are kept by all, each fault is known in its time, and every req is answered once."""
