--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -86,6 +86,9 @@
                 return self._run()
             finally:
                 self.load.ended.set()
+                for process in self.processes.values():
+                    process.signal(signal.SIGCONT)
+                    process.stop()                    # all at once, then each is waited for
                 for process in self.processes.values():
                     process.end()
                 self.relay.end()
