--- /dev/null
+++ b/gullyoke/emulator/shares.py
@@ -0,0 +1,140 @@
+"""Shares without sockets: processes with clocks of their own that lend and borrow, and a network between
+them that loses, delays and doubles. What is in force is summed at every event. All figures from here are
+simulated."""
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from gullyoke.together.shares import Borrower, Claim, Grant, Holding, Home, Promise, Return, Voter, Want
+from gullyoke.together.spans import RATE
+
+SECOND = 1_000_000
+TURN = 100_000
+
+
+class Process:
+    """One process: borrower always, lender and voter where it is at a home. `rate` and `ahead` make its
+    clock."""
+
+    def __init__(self, play: Play, key: str, home: str | None, votes: bool) -> None:
+        chance = play.chance
+        self.key, self.home, self.play = key, home, play
+        self.rate = 1 + chance.uniform(-0.5, 0.5) / RATE
+        self.ahead = chance.randrange(10**9)
+        self.life, self.up, self.paused, self.need = chance.getrandbits(40), True, 0, 0
+        now = self.now()
+        self.borrower = Borrower(self.life, play.floor, play.homes, home)
+        self.voter = Voter(now, home, play.homes) if home and votes else None
+        self.holding = Holding(home, self.life, play.homes) if home else None
+        self.lender = Home(self.holding, play.tokens) if home else None
+
+    def now(self) -> int:
+        return self.ahead + int(self.play.now * self.rate)
+
+    def at(self, home: str) -> str:
+        """Who is that home, as this process sees it."""
+        return self.play.takes.get((self.key, home), home)
+
+    def turn(self) -> None:
+        now = self.now()
+        if self.holding and (claim := self.holding.claim(now)) is not None:
+            for home in self.play.homes:
+                self.play.send(self.key, home, claim)
+        for want in self.borrower.ask(now, self.need):
+            self.play.send(self.key, self.at(want.home), want)
+
+    def hear(self, from_: str, message) -> None:
+        now, play = self.now(), self.play
+        if isinstance(message, Claim) and self.voter:
+            if (promise := self.voter.claim(now, message)) is not None:
+                play.send(self.key, from_, promise)
+        elif isinstance(message, Promise) and self.holding:
+            self.holding.hear(now, message)
+        elif isinstance(message, Want) and self.lender:
+            if message.home == self.home and (grant := self.lender.want(now, message)) is not None:
+                play.send(self.key, from_, grant)
+        elif isinstance(message, Grant):
+            if (back := self.borrower.hear(now, message)) is not None:
+                play.send(self.key, self.at(message.home), back)
+        elif isinstance(message, Return) and self.lender:
+            self.lender.returned(now, message)
+
+    def lent(self) -> int:
+        """Tokens above its floor that are in force here now."""
+        return self.borrower.in_force(self.now()) - self.borrower.floor
+
+
+class Play:
+    """`homes` are names; a message to one goes to the process at its address, which is that of its first
+    start."""
+
+    def __init__(self, seed: int, homes: int, others: int, tokens: int, floor: int = 0, loss: float = 0.0,
+                 slowest: int = 20_000) -> None:
+        self.chance = random.Random(seed)
+        self.homes = [f"h{i}" for i in range(homes)]
+        self.tokens, self.floor, self.loss, self.slowest = tokens, floor, loss, slowest
+        self.now, self.queue, self.count = 0, [], itertools.count()
+        self.processes: dict[str, Process] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.takes: dict[tuple[str, str], str] = {}   # whom a process takes for a home, if another
+        self.worst = 0                                # of one home's tokens, the most that were in force
+        for name in self.homes:
+            self.start(name, name)
+        for i in range(others):
+            self.start(f"b{i}", None)
+
+    def start(self, key: str, home: str | None) -> Process:
+        """At `key`; a home's name at another key is a double start, which gets no votes to give."""
+        process = self.processes[key] = Process(self, key, home, key == home)
+        self.after(self.chance.randrange(TURN), lambda: self.turn(process))
+        return process
+
+    def kill(self, key: str) -> None:
+        self.processes[key].up = False
+
+    def after(self, span: int, act) -> None:
+        heapq.heappush(self.queue, (self.now + span, next(self.count), act))
+
+    def turn(self, process: Process) -> None:
+        if self.processes.get(process.key) is not process or not process.up:
+            return
+        if process.paused <= self.now:
+            process.turn()
+        self.after(TURN, lambda: self.turn(process))
+
+    def send(self, from_: str, to: str, message) -> None:
+        if self.chance.random() < self.loss or (from_, to) in self.cut:
+            return
+        for _ in range(1 + (self.chance.random() < 0.1)):
+            self.after(self.chance.randrange(1, self.slowest), lambda: self.come(from_, to, message))
+
+    def come(self, from_: str, to: str, message) -> None:
+        there = self.processes.get(to)
+        if there is None or not there.up:
+            return
+        if there.paused > self.now:
+            self.after(there.paused - self.now, lambda: self.come(from_, to, message))
+            return
+        there.hear(from_, message)
+
+    def lent(self) -> int:
+        return sum(p.lent() for p in self.processes.values() if p.up)
+
+    def lent_by(self) -> dict[str, int]:
+        """Tokens of each home that are in force anywhere."""
+        sums = dict.fromkeys(self.homes, 0)
+        for process in self.processes.values():
+            if process.up:
+                now = process.now()
+                for home, held in process.borrower.held.items():
+                    sums[home] += held.tokens if now < held.until else 0
+        return sums
+
+    def run(self, until: int) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, act = heapq.heappop(self.queue)
+            act()
+            self.worst = max(self.worst, *self.lent_by().values())
+        self.now = until
--- /dev/null
+++ b/gullyoke/together/spans.py
@@ -0,0 +1,10 @@
+"""Spans on clocks that need not agree: only that no two run apart by more than one part in RATE is
+believed."""
+from __future__ import annotations
+
+RATE = 1000
+
+
+def surely(span: int) -> int:
+    """So long on one clock that `span` has passed on any other."""
+    return span + 2 * span // RATE + 1
--- /dev/null
+++ b/tests/together/test_shares.py
@@ -0,0 +1,201 @@
+"""Shares: what is in force together is never above what there is, whatever happens; and they follow need."""
+import random
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gullyoke.emulator.shares import SECOND, Play
+from gullyoke.together import shares
+from gullyoke.together.fair import parts, split
+
+TOKENS = 24
+
+
+def troubled(seed, span=24):
+    """A play with everything at once: loss, messages up to 3 s late, pauses up to 9 s, ends and starts of
+    homes and borrowers, double starts under a home's name, cuts. The most of one home's tokens that were in
+    force."""
+    chance = random.Random(seed)
+    play = Play(seed, homes=chance.choice((1, 3, 3, 5)), others=3, tokens=TOKENS,
+                loss=chance.choice((0, 0, 0.2)), slowest=chance.choice((5_000, 300_000, 3 * SECOND)))
+    for one in play.processes.values():
+        one.need = 100
+    play.run(12 * SECOND)
+    doubles = 0
+    for _ in range(span):
+        play.run(play.now + chance.choice((1, 2, 5)) * SECOND)
+        key = chance.choice(list(play.processes))
+        process, what = play.processes[key], chance.randrange(7)
+        if what == 0:
+            process.paused = play.now + chance.randrange(9 * SECOND)
+        elif what == 1:
+            play.kill(key)
+            play.start(key, process.home).need = 100  # at once, with nothing remembered
+        elif what == 2 and doubles < 3:
+            doubles += 1
+            play.start(f"d{doubles}", chance.choice(play.homes)).need = 100
+        elif what == 3:
+            play.cut = {(chance.choice(list(play.processes)), chance.choice(play.homes)) for _ in range(5)}
+        elif what == 4:
+            play.cut = set()
+        elif what == 5:
+            process.need = chance.choice((0, 5, 100))
+    return play.worst
+
+
+class Shares(unittest.TestCase):
+    def test_conserved(self):
+        """Never more of one home's tokens than there are, at any event of any play; and not since nothing was
+        lent."""
+        worst = [troubled(seed) for seed in range(24)]
+        self.assertLessEqual(max(worst), TOKENS)
+        self.assertGreater(sum(one == TOKENS for one in worst), 12)
+
+    def test_guards(self):
+        """Without one of these the sum goes above what there is on some of these plays."""
+        def counted_late(self, now, grant):
+            back = hear(self, now, grant)
+            if back is not None:
+                self.held[grant.home] = self.held[grant.home]._replace(until=now + shares.LOAN)
+            return back
+
+        def frees_at_once(self, now, want):
+            found = wanted(self, now, want)
+            if found is not None and want.borrower in self.loans:
+                self.loans[want.borrower].tokens = found.tokens
+            return found
+
+        hear, wanted = shares.Borrower.hear, shares.Home.want
+        for what, guard in (
+                ("counts from before it was asked", mock.patch.object(shares.Borrower, "hear", counted_late)),
+                ("frees nothing before it is told", mock.patch.object(shares.Home, "want", frees_at_once))):
+            with self.subTest(what), guard:
+                self.assertTrue(any(troubled(seed) > TOKENS for seed in range(120)))
+
+    def twice(self, seed, restart=()):
+        """h0 has lent all; then half of the borrowers take another process for h0, and the first is cut off
+        from the voters, but not from its own borrowers; `restart` names voters that start anew then."""
+        play = Play(seed, homes=3, others=4, tokens=TOKENS)
+        play.processes["b0"].need = play.processes["b1"].need = 100
+        play.run(20 * SECOND)
+        play.processes["b2"].need = play.processes["b3"].need = 100
+        play.start("d0", "h0")
+        play.takes = {(key, "h0"): "d0" for key in ("b2", "b3")}
+        play.cut = {(a, b) for a in ("h0",) for b in ("h1", "h2", "d0")} | {("h1", "h0"), ("h2", "h0")}
+        play.cut |= {(key, "h0") for key in ("b2", "b3")} | {("h0", key) for key in ("b2", "b3")}
+        for name in restart:
+            play.kill(name)
+            play.start(name, name)
+        play.run(play.now + 2_500_000)
+        if restart:
+            play.cut |= {("b0", "h0"), ("b1", "h0")}  # they keep what they have to its end
+        play.run(play.now + 12 * SECOND)
+        return play.worst
+
+    def again(self, seed):
+        """h0 has lent to one, who is cut off then; h0 starts anew, and another asks."""
+        play = Play(seed, homes=1, others=2, tokens=TOKENS)
+        play.processes["b0"].need = 100
+        play.run(16 * SECOND)
+        play.cut = {("b0", "h0"), ("h0", "b0")}
+        play.kill("h0")
+        play.start("h0", "h0")
+        play.processes["b1"].need = 100
+        play.run(play.now + 14 * SECOND)
+        return play.worst
+
+    def test_names_and_starts(self):
+        """Two processes for one home, voters that forget, a home that forgets: nothing is lent twice, and
+        each of these would be without its guard."""
+        def early(self, now):
+            return self.holds(now)
+
+        def forgetful(self, now, name, homes):
+            begun(self, now, name, homes)
+            self.mute = now
+
+        def any_number(self, now, promise):
+            heard(self, now, promise)
+            if (promise.home, promise.life) == (self.home, self.life):
+                self.since = self.since or now
+                self.until = max(self.until, self.asked + shares.LEASE)
+
+        begun, heard = shares.Voter.__init__, shares.Holding.hear
+        for what, play, guard in (
+                ("waits out a loan", self.again, mock.patch.object(shares.Holding, "lends", early)),
+                ("a majority", self.twice, mock.patch.object(shares.Holding, "hear", any_number)),
+                ("a voter is mute", lambda seed: self.twice(seed, ("h1", "h2")),
+                 mock.patch.object(shares.Voter, "__init__", forgetful))):
+            with self.subTest(what):
+                self.assertLessEqual(max(play(seed) for seed in range(6)), TOKENS)
+                with guard:
+                    self.assertTrue(any(play(seed) > TOKENS for seed in range(40)))
+
+    def test_follows_need(self):
+        """With no fault, what is wanted is lent within seconds, fairly where more is wanted than there is,
+        and follows when the need moves; nobody who wants some is left with none."""
+        play = Play(7, homes=3, others=3, tokens=40, floor=2)
+        play.run(12 * SECOND)                         # names are held, old loans waited out
+        for key, need in (("b0", 30), ("b1", 200), ("b2", 200)):
+            play.processes[key].need = need
+        play.run(play.now + 25 * SECOND)
+        has = {key: play.processes[key].lent() + 2 for key in ("b0", "b1", "b2")}
+        self.assertGreaterEqual(sum(has.values()), 0.9 * 126)
+        self.assertGreaterEqual(has["b0"], 24)
+        self.assertLess(abs(has["b1"] - has["b2"]), 16)
+        play.processes["b1"].need = 0
+        play.processes["h0"].need = 100
+        play.run(play.now + 25 * SECOND)
+        self.assertLess(play.processes["b1"].lent(), 4)
+        self.assertGreater(play.processes["h0"].lent(), 30)
+        self.assertLessEqual(play.worst, 40)
+
+    def test_a_home_that_ends(self):
+        """Its tokens are nobody's for a while; once a process is back at its address they are lent again, and
+        the others' are lent all along."""
+        play = Play(3, homes=3, others=2, tokens=20)
+        for process in play.processes.values():
+            process.need = 100
+        play.run(20 * SECOND)
+        self.assertGreaterEqual(play.lent(), 54)
+        play.kill("h1")
+        play.run(play.now + 10 * SECOND)
+        self.assertLessEqual(play.lent(), 40)
+        self.assertGreaterEqual(play.lent(), 34)
+        play.start("h1", "h1").need = 100
+        play.run(play.now + 25 * SECOND)
+        self.assertGreaterEqual(play.lent(), 54)
+
+    def test_alone(self):
+        """One that reaches nobody falls back to its floor within a loan's time, by its own clock alone."""
+        play = Play(5, homes=3, others=1, tokens=20, floor=3)
+        play.processes["b0"].need = 40
+        play.run(20 * SECOND)
+        self.assertGreater(play.processes["b0"].lent(), 20)
+        play.cut = {("b0", home) for home in play.homes}
+        play.run(play.now + shares.LOAN + SECOND // 10)
+        one = play.processes["b0"]
+        self.assertEqual((one.lent(), one.borrower.in_force(one.now())), (0, 3))
+
+    @settings(max_examples=200, deadline=None, derandomize=True, database=None)
+    @given(st.integers(0, 200), st.dictionaries(st.sampled_from("abcdef"), st.integers(0, 100), min_size=1),
+           st.dictionaries(st.sampled_from("abcdef"), st.floats(0.1, 10)))
+    def test_parts(self, total, wants, weights):
+        """Never more than there is or is wanted; nothing is left while somebody wants more; order is
+        nothing."""
+        given = parts(total, wants, weights)
+        self.assertLessEqual(sum(given.values()), total)
+        self.assertTrue(all(0 <= given[who] <= want for who, want in wants.items()))
+        self.assertEqual(sum(given.values()), min(total, sum(wants.values())))
+        self.assertEqual(given, parts(total, dict(reversed(wants.items())), weights))
+
+    def test_split(self):
+        for limit, largest, homes in ((100, 12, 3), (7, 20, 5), (1000, 200, 7)):
+            floor, lend = split(limit, largest, homes, 0.5)
+            self.assertLessEqual(floor * largest + lend * homes, limit)
+
+
+if __name__ == "__main__":
+    unittest.main()
