--- a/gullyoke/cli/main.py
+++ b/gullyoke/cli/main.py
@@ -75,7 +75,8 @@
     except Faulty as faulty:
         refuse(faulty.faults)
     pool = f"{len(found.pool.back_ends)} back ends" if found.pool else "the engine"
-    click.echo(f"{file}: right; {len(found.ways)} further listeners, work at {pool}")
+    fleet = f", in the fleet {found.fleet.name} by {len(found.fleet.seeds)} seeds" if found.fleet else ""
+    click.echo(f"{file}: right; {len(found.ways)} further listeners, work at {pool}{fleet}")
 
 
 @main.command()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -101,7 +101,9 @@
         right = run(main, ["check", str(ROOT / "deploy/scgi.textproto")])
         self.assertEqual(right.exit_code, 0)
         self.assertIn("2 further listeners, work at 3 back ends", right.output)
-        for command in ([], ["serve"], ["check"]):
+        member = run(main, ["check", str(ROOT / "deploy/fleet.textproto")])
+        self.assertIn("work at the engine, in the fleet orders by 3 seeds", member.output)
+        for command in ([], ["serve"], ["check"], ["fleet", "status"], ["fleet", "events"], ["fleet", "play"]):
             self.assertIn("Example", run(main, [*command, "--help"]).output)
         wrong = run(main, ["serve", "--operator", self.write("backends { }")])
         self.assertEqual((wrong.exit_code, "backends.backend: missing" in wrong.stderr), (2, True))
