--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -103,7 +103,8 @@
         self.assertIn("2 further listeners, work at 3 back ends", right.output)
         member = run(main, ["check", str(ROOT / "deploy/fleet.textproto")])
         self.assertIn("work at the engine, in the fleet orders by 3 seeds", member.output)
-        for command in ([], ["serve"], ["check"], ["fleet", "status"], ["fleet", "events"], ["fleet", "play"]):
+        fleet = [["fleet", name] for name in ("status", "events", "play", "key")]
+        for command in ([], ["serve"], ["check"], *fleet):
             self.assertIn("Example", run(main, [*command, "--help"]).output)
         wrong = run(main, ["serve", "--operator", self.write("backends { }")])
         self.assertEqual((wrong.exit_code, "backends.backend: missing" in wrong.stderr), (2, True))
