A member's socket closed at its end is no fault

Cause: seen in the tests' output, a fault with EBADF where a link was closed while its thread was within a turn: Link.run counted whatever a turn raised, its own end too, so that each drain could count a fault.

Change: a turn that fails after the end was asked for ends the thread; a test closes it within a turn, and fails without the change.

--- a/gullyoke/peers/link.py
+++ b/gullyoke/peers/link.py
@@ -55,6 +55,8 @@
             try:
                 self.turn()
             except Exception:                         # an error of our own ends one turn, not the thread
+                if self.ended.is_set():
+                    return                            # its socket was closed under it: that is its end
                 self.book.fault("peers")
                 time.sleep(0.05)
 
--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -71,6 +71,14 @@
         self.assertLess(time.monotonic() - began_at, 3.5)
         self.assertGreater(links[0].book.rows["peers.refused"] + book.rows["peers.refused"], 0)
 
+    def test_its_end(self):
+        """Closing it is no fault: guards against one that is counted at each drain."""
+        link, = self.links(1)
+        link.begin(types.SimpleNamespace(tick=lambda now: link.end(), take=list))    # closed within a turn
+        link.join(5)
+        self.assertFalse(link.is_alive())
+        self.assertEqual([name for name in link.book.rows if name.startswith("faults")], [])
+
     def test_another_key(self):
         """Who has another key is not let in and not answered, and stays alone."""
         one, = self.links(1)
