One process's part in a shared limit as one unit, for the model and for sockets alike

Need: who borrows, lends and votes was put together in the model only; a server would have written it again.

Change: gullyoke/together/sharing.py holds a process's borrower, holding, home and voter behind `turn` and `hear`, and says to whom each message goes (a voter at its stated address, whoever is taken for a home, back to the asker); the model uses it.

--- a/gullyoke/emulator/shares.py
+++ b/gullyoke/emulator/shares.py
@@ -7,7 +7,7 @@
 import itertools
 import random
 
-from gullyoke.together.shares import Borrower, Claim, Grant, Holding, Home, Promise, Return, Voter, Want
+from gullyoke.together.sharing import ASKER, LENDER, VOTER, Letter, Sharing
 from gullyoke.together.spans import RATE
 
 SECOND = 1_000_000
@@ -15,51 +15,43 @@
 
 
 class Process:
-    """One process: borrower always, lender and voter where it is at a home. `rate` and `ahead` make its
-    clock."""
+    """One process: its part in the limit, and a clock of its own, made by `rate` and `ahead`."""
 
     def __init__(self, play: Play, key: str, home: str | None, votes: bool) -> None:
         chance = play.chance
         self.key, self.home, self.play = key, home, play
         self.rate = 1 + chance.uniform(-0.5, 0.5) / RATE
         self.ahead = chance.randrange(10**9)
-        self.life, self.up, self.paused, self.need = chance.getrandbits(40), True, 0, 0
-        now = self.now()
-        self.borrower = Borrower(self.life, play.floor, play.homes, home)
-        self.voter = Voter(now, home, play.homes) if home and votes else None
-        self.holding = Holding(home, self.life, play.homes) if home else None
-        self.lender = Home(self.holding, play.tokens) if home else None
+        self.up, self.paused = True, 0
+        self.part = Sharing(self.now(), chance.getrandbits(40), play.homes, play.tokens, play.floor, home,
+                            votes)
+        self.borrower = self.part.borrower
+
+    @property
+    def need(self) -> int:
+        return self.part.need
+
+    @need.setter
+    def need(self, need: int) -> None:
+        self.part.need = need
 
     def now(self) -> int:
         return self.ahead + int(self.play.now * self.rate)
 
-    def at(self, home: str) -> str:
-        """Who is that home, as this process sees it."""
-        return self.play.takes.get((self.key, home), home)
-
     def turn(self) -> None:
-        now = self.now()
-        if self.holding and (claim := self.holding.claim(now)) is not None:
-            for home in self.play.homes:
-                self.play.send(self.key, home, claim)
-        for want in self.borrower.ask(now, self.need):
-            self.play.send(self.key, self.at(want.home), want)
+        for letter in self.part.turn(self.now()):
+            self.post(letter, "")
 
     def hear(self, from_: str, message) -> None:
-        now, play = self.now(), self.play
-        if isinstance(message, Claim) and self.voter:
-            if (promise := self.voter.claim(now, message)) is not None:
-                play.send(self.key, from_, promise)
-        elif isinstance(message, Promise) and self.holding:
-            self.holding.hear(now, message)
-        elif isinstance(message, Want) and self.lender:
-            if message.home == self.home and (grant := self.lender.want(now, message)) is not None:
-                play.send(self.key, from_, grant)
-        elif isinstance(message, Grant):
-            if (back := self.borrower.hear(now, message)) is not None:
-                play.send(self.key, self.at(message.home), back)
-        elif isinstance(message, Return) and self.lender:
-            self.lender.returned(now, message)
+        letter = self.part.hear(self.now(), message)
+        if letter is not None:
+            self.post(letter, from_)
+
+    def post(self, letter: Letter, asker: str) -> None:
+        """Votes are asked for at a home's stated address, loans where this process takes that home to be."""
+        taken = self.play.takes.get((self.key, letter.home), letter.home)
+        to = {VOTER: letter.home, LENDER: taken, ASKER: asker}[letter.to]
+        self.play.send(self.key, to, letter.message)
 
     def lent(self) -> int:
         """Tokens above its floor that are in force here now."""
--- /dev/null
+++ b/gullyoke/together/sharing.py
@@ -0,0 +1,66 @@
+"""One process's part in a shared limit: it borrows, and where it is at a home it lends and votes. What it
+says and hears are the messages of gullyoke/together/shares.py; who carries them is not its affair."""
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from gullyoke.together.shares import Borrower, Claim, Grant, Holding, Home, Promise, Return, Voter, Want
+
+Message = Claim | Promise | Want | Grant | Return
+
+
+class Letter(NamedTuple):
+    """To whom: a voter, at the stated address of that home; a lender, whoever is taken for that home; or
+    back to the process that asked."""
+    to: str
+    home: str
+    message: Message
+
+
+VOTER, LENDER, ASKER = "voter", "lender", "asker"
+
+
+class Sharing:
+    """`home` is the name it lends under, None where it is at none; `votes`, whether it is at that home's
+    stated address. `tokens` is what each home has to lend, `floor` what each process has by right."""
+
+    def __init__(self, now: int, life: int, homes: Iterable[str], tokens: int, floor: int,
+                 home: str | None = None, votes: bool = False) -> None:
+        self.homes = tuple(homes)
+        if home is not None and home not in self.homes:
+            raise ValueError(f"{home!r} is none of the homes {', '.join(self.homes)}")
+        self.home, self.need = home, 0
+        self.borrower = Borrower(life, floor, self.homes, home)
+        self.voter = Voter(now, home, self.homes) if home and votes else None
+        self.holding = Holding(home, life, self.homes) if home else None
+        self.lender = Home(self.holding, tokens) if self.holding else None
+
+    def in_force(self, now: int) -> int:
+        """What this process may use at this moment: asked again after every wait."""
+        return self.borrower.in_force(now)
+
+    def turn(self, now: int) -> list[Letter]:
+        """What is to be said now; called a few times a second."""
+        said: list[Letter] = []
+        if self.holding and (claim := self.holding.claim(now)) is not None:
+            said += [Letter(VOTER, home, claim) for home in self.homes]
+        return said + [Letter(LENDER, want.home, want) for want in self.borrower.ask(now, self.need)]
+
+    def hear(self, now: int, message: Message) -> Letter | None:
+        """What it answers, if anything."""
+        if isinstance(message, Claim):
+            promise = self.voter.claim(now, message) if self.voter else None
+            return promise and Letter(ASKER, message.home, promise)
+        if isinstance(message, Promise):
+            if self.holding:
+                self.holding.hear(now, message)
+        elif isinstance(message, Want):
+            grant = self.lender.want(now, message) if self.lender and message.home == self.home else None
+            return grant and Letter(ASKER, message.home, grant)
+        elif isinstance(message, Grant):
+            back = self.borrower.hear(now, message)
+            return back and Letter(LENDER, message.home, back)
+        elif isinstance(message, Return) and self.lender and message.home == self.home:
+            self.lender.returned(now, message)
+        return None
--- a/tests/together/test_shares.py
+++ b/tests/together/test_shares.py
@@ -9,6 +9,7 @@
 from gullyoke.emulator.shares import SECOND, Play
 from gullyoke.together import shares
 from gullyoke.together.fair import parts, split
+from gullyoke.together.sharing import Sharing
 
 TOKENS = 24
 
@@ -168,6 +169,10 @@
         play.run(play.now + 25 * SECOND)
         self.assertGreaterEqual(play.lent(), 54)
 
+    def test_a_name_that_is_no_home(self):
+        with self.assertRaises(ValueError):
+            Sharing(0, 1, ("h0", "h1"), 10, 1, "h2")
+
     def test_alone(self):
         """One that reaches nobody falls back to its floor within a loan's time, by its own clock alone."""
         play = Play(5, homes=3, others=1, tokens=20, floor=3)
