A daemon's file, a gateway's req and a process's usage are each written once for lab, rig and benchmarks

Cause: the rig wrote again what gullyoke/lab/world.py had (the daemon's configuration, the head of a gateway's req) and what benchmarks/scgi.py had (processor time and memory of a process; tests/test_lean.py had them a third time); the members' benchmark measured a daemon without a fleet by putting another method into the rig's class.

Change: world.config and world.asked serve `gullyoke try` and the rig; gullyoke/lab/usage.py the benchmarks, the rig and the test of the lean start; the members' benchmark takes the daemon of benchmarks/scgi.py. No assertion changed. The rig's reqs name the same host as the others do, and the memory of the daemon without a fleet is that of one with a further listener.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -14,10 +14,12 @@
 import statistics
 import subprocess
 import sys
+import time
 from concurrent.futures import ProcessPoolExecutor
 
 from gullyoke.emulator.peers import SECOND, Network, fleet
 from gullyoke.emulator.swim import Lifeguard, Swim
+from gullyoke.lab import usage
 from gullyoke.members import Member
 
 MAKES = {"ours": Member, "swim": Swim, "lifeguard": Lifeguard}
@@ -115,23 +117,10 @@
 
 def lean_mb() -> float:
     """Resident memory of an idle daemon with an operator's file that names no fleet."""
-    from gullyoke.rig import processes
-    from gullyoke.rig.play import Play
-    from gullyoke.rig.script import read
-    whole = processes.Process.operator
-
-    def without(self):
-        path = whole(self)
-        path.write_text("log { form: JSON }\n")
-        return path
-
-    processes.Process.operator = without
-    try:
-        play = Play(read("members 1 seed 2\nat 0.1 heal\nend 1.2"))
-        play.equal = lambda: True
-        return play.run().resident_mb
-    finally:
-        processes.Process.operator = whole
+    from benchmarks.scgi import daemon
+    with daemon(True) as scene:
+        time.sleep(1)
+        return usage.resident(scene.process.pid) / 1024
 
 
 def quantile(values: list[float], share: float) -> float:
--- a/benchmarks/scgi.py
+++ b/benchmarks/scgi.py
@@ -10,7 +10,6 @@
 import argparse
 import contextlib
 import json
-import os
 import pathlib
 import socket
 import statistics
@@ -24,19 +23,7 @@
 
 from standins import Busy, Sockets, message  # noqa: E402
 
-TICK = os.sysconf("SC_CLK_TCK")
-
-
-def cpu(pid: int) -> float:
-    """Seconds of CPU time that a process has had."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICK
-
-
-def resident(pid: int) -> int:
-    """Its resident memory in KiB."""
-    text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(text.partition("VmRSS:")[2].split()[0])
+from gullyoke.lab.usage import cpu, resident  # noqa: E402
 
 
 @contextlib.contextmanager
--- a/gullyoke/lab/world.py
+++ b/gullyoke/lab/world.py
@@ -150,6 +150,27 @@
         "Permissions": {"RetryAfter": True, "MaxRetryAfterUs": 1_000_000}}
 
 
+def config(name: str, listen: tuple[str, int], peers: tuple[Peer, Peer, Peer], day: Day, seed: int,
+           stop_ms: int = 3000, sockets: int = 1024) -> str:
+    """The file that a daemon reads, with this engine, database and name service."""
+    engine, database, names = peers
+    return json.dumps({
+        "name": name, "listen": "{}:{}".format(*listen), "engine": engine.address, "db": database.address,
+        "naming": names.address, "stop_ms": stop_ms, "seed": f"{seed:x}", "limits": {"sockets": sockets},
+        "settings": settings(day)})
+
+
+def asked(handler: str, number: int, caller: int, timeout: int, work: int, close: bool = False) -> bytes:
+    """A req as a gateway writes it; `timeout` and `work` in microseconds, `close` for a connection of its
+    own."""
+    body = str(work).encode()
+    return (f"POST /call/{handler} HTTP/1.1\r\nHost: origin.svc\r\n"
+            + ("Connection: close\r\n" if close else "")
+            + f"Trace-Id: {number:016x}\r\nAccepted-At-Ms: {clock.unix_ms()}\r\nClient-No: {caller}\r\n"
+            f"Reserve-Kb: 30.0\r\nMax-Wait-Ms: {timeout // 1000}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
 class Gateways:
     """Asks what a day says when it says so, each req once, on connections that are kept. `rows` counts by
     class and outcome; `value` is what was earned by class."""
@@ -172,12 +193,9 @@
             thread.join(10)
 
     def ask(self, number: int, kind: int, work: int, caller: int) -> None:
-        w, began, body = self.day.works[kind], time.monotonic(), str(work).encode()
-        head = (f"POST /call/{w.name} HTTP/1.1\r\nHost: origin.svc\r\nTrace-Id: {number:016x}\r\n"
-                f"Accepted-At-Ms: {clock.unix_ms()}\r\nClient-No: {caller}\r\nReserve-Kb: 30.0\r\n"
-                f"Max-Wait-Ms: {w.timeout // 1000}\r\nContent-Length: {len(body)}\r\n\r\n")
+        w, began = self.day.works[kind], time.monotonic()
         try:
-            status = self.exchange(head.encode() + body, w.timeout / 1e6 + 1)
+            status = self.exchange(asked(w.name, number, caller, w.timeout, work), w.timeout / 1e6 + 1)
         except OSError:
             status = "none"
         took = (time.monotonic() - began) * 1e6
@@ -219,14 +237,10 @@
     with socket.create_server(("127.0.0.1", 0)) as probe:
         listen = probe.getsockname()
     with tempfile.TemporaryDirectory() as folder:
-        config = pathlib.Path(folder, "config.json")
-        config.write_text(json.dumps({
-            "name": "try", "listen": "{}:{}".format(*listen), "engine": engine.address,
-            "db": peers[1].address, "naming": peers[2].address, "stop_ms": 3000,
-            "seed": f"{random.Random(day.seed).getrandbits(64):x}",
-            "limits": {"sockets": 1024}, "settings": settings(day)}))
+        path = pathlib.Path(folder, "config.json")
+        path.write_text(config("try", listen, peers, day, random.Random(day.seed).getrandbits(64)))
         process = subprocess.Popen([sys.executable, "-m", "gullyoke"], stderr=subprocess.DEVNULL,
-                                   env=os.environ | {"NODE_CONFIG": str(config)})
+                                   env=os.environ | {"NODE_CONFIG": str(path)})
         try:
             until = time.monotonic() + 10
             while not good(listen):
--- a/gullyoke/rig/load.py
+++ b/gullyoke/rig/load.py
@@ -7,8 +7,8 @@
 import time
 from collections import Counter
 
-from gullyoke.core import clock
 from gullyoke.emulator.day import Work
+from gullyoke.lab.world import asked
 from gullyoke.rig.processes import Process
 
 WORK = Work("view", 1.0, 10_000, .3, 1_000_000, 2_000_000, 1.0, .1, False, 0.0)
@@ -54,12 +54,7 @@
         began = time.monotonic()
         if not process.up() or process.name in self.disturbed:
             return
-        body = str(SPAN).encode()
-        head = (f"POST /call/{WORK.name} HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n"
-                f"Trace-Id: {number:016x}\r\nAccepted-At-Ms: {clock.unix_ms()}\r\nClient-No: 1\r\n"
-                f"Reserve-Kb: 30.0\r\nMax-Wait-Ms: {WORK.timeout // 1000}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n")
-        answers, took = self.exchange(process, head.encode() + body)
+        answers, took = self.exchange(process, asked(WORK.name, number, 1, WORK.timeout, SPAN, close=True))
         what = OUTCOMES.get(answers[0], "other") if answers else "none"
         if len(answers) > 1:
             what = "twice"
--- a/gullyoke/rig/processes.py
+++ b/gullyoke/rig/processes.py
@@ -14,7 +14,8 @@
 import time
 
 from gullyoke.emulator.day import Day
-from gullyoke.lab.world import Database, Engine, Names, good, settings
+from gullyoke.lab import usage
+from gullyoke.lab.world import Database, Engine, Names, config, good
 from gullyoke.rig.script import Script
 
 COME_UP = 20.0                         # seconds for a process to answer its check
@@ -80,15 +81,13 @@
         self.engine = Counting(self.day.machines.cores, {w.name for w in self.day.works if w.calls})
         self.starts += 1
         seed = random.Random(f"{self.script.seed} {self.name} {self.starts}").getrandbits(64)
-        config = self.folder / f"{self.name}.json"
-        config.write_text(json.dumps({
-            "name": self.name, "listen": text(self.listen), "engine": self.engine.address,
-            "db": self.database.address, "naming": self.names.address, "stop_ms": 1500,
-            "seed": f"{seed:x}", "limits": {"sockets": 512}, "settings": settings(self.day)}))
+        path = self.folder / f"{self.name}.json"
+        path.write_text(config(self.name, self.listen, (self.engine, self.database, self.names), self.day,
+                               seed, stop_ms=1500, sockets=512))
         self.asked_to_end = False
         self.child = subprocess.Popen(
             [sys.executable, "-m", "gullyoke.cli", "serve", "--operator", str(self.operator())],
-            stderr=subprocess.PIPE, text=True, env=os.environ | {"NODE_CONFIG": str(config)})
+            stderr=subprocess.PIPE, text=True, env=os.environ | {"NODE_CONFIG": str(path)})
         threading.Thread(target=self.collect, args=(self.child,), daemon=True).start()
 
     def collect(self, child: subprocess.Popen) -> None:
@@ -139,13 +138,11 @@
 
     def cpu(self) -> float:
         """Seconds of processor time so far."""
-        fields = pathlib.Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return usage.cpu(self.child.pid)
 
     def resident(self) -> float:
         """MB of memory that it has now."""
-        found = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
-        return int(found.partition("VmRSS:")[2].split()[0]) / 1024
+        return usage.resident(self.child.pid) / 1024
 
     def asked(self, what: str) -> dict | None:
         """What it says on its status address; None where it does not answer."""
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -11,6 +11,8 @@
 
 from standins import ROOT, Sockets
 
+from gullyoke.lab import usage
+
 FOREIGN = "site-packages"
 # Counted, not timed: the same each time on one version of the language, and some room for others.
 MODULES, OURS, RESIDENT_MB, CPU_S = 260, 45, 40.0, 10.0
@@ -75,10 +77,8 @@
                     pathlib.Path("/proc/net/unix").read_text().splitlines()[1:]}
             self.assertEqual(held & unix, set())
             self.assertFalse([name for name in held if FOREIGN in name])
-            status = (pid / "status").read_text()
-            resident = int(status.partition("VmRSS:")[2].split()[0]) / 1024
-            fields = (pid / "stat").read_text().rpartition(")")[2].split()
-            cpu = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+            resident = usage.resident(scene.process.pid) / 1024
+            cpu = usage.cpu(scene.process.pid)
             print(f"lean start and one req: {cpu:.2f} s of CPU, {resident:.1f} MB resident", file=sys.stderr)
             self.assertLess(resident, RESIDENT_MB)
             self.assertLess(cpu, CPU_S)
