Parameters that nobody gives and a reset written twice taken out

Cause: Comparing.due had bounds as parameters that no caller gave, Judgement.elsewhere took a share of sheds that it never read, and the rig's faults were reset by the same lines at the start and at heal.

Change: the bounds are the module's, the parameter is gone (its tests call without it, their assertions as they were), Faults.heal serves both.

Result: the tests of signals, scripts and fates pass.

--- a/gullyoke/members/compare.py
+++ b/gullyoke/members/compare.py
@@ -30,9 +30,9 @@
             if self.differs is None:
                 self.differs = now
 
-    def due(self, now: int, least: int = GRACE, every: int = EVERY) -> bool:
+    def due(self, now: int) -> bool:
         """Whether to ask `peer` now; it counts as asked."""
-        if self.differs is None or now - self.differs < least or now - self.last < every:
+        if self.differs is None or now - self.differs < GRACE or now - self.last < EVERY:
             return False
         self.last = now
         return True
--- a/gullyoke/rig/faults.py
+++ b/gullyoke/rig/faults.py
@@ -11,6 +11,10 @@
 
     def __init__(self, script: Script) -> None:
         self.script, self.chance = script, random.Random(script.seed)
+        self.heal()
+
+    def heal(self) -> None:
+        """No fault on any link."""
         self.cuts: list[tuple[set[str], set[str], float]] = []
         self.loss = self.double = self.reorder = 0.0
         self.delay = (0.0, 0.0)
@@ -25,9 +29,7 @@
             if words[1] == "<>":
                 self.cuts.append((other, one, share))
         elif step.what == "heal":
-            self.cuts.clear()
-            self.loss = self.double = self.reorder = 0.0
-            self.delay = (0.0, 0.0)
+            self.heal()
         elif step.what == "delay":
             self.delay = float(words[0]) / 1000, float(words[1]) / 1000
         else:
--- a/gullyoke/together/signals.py
+++ b/gullyoke/together/signals.py
@@ -143,7 +143,7 @@
         elif now - self.since >= LASTS:
             self.back, self.since = not self.back, None
 
-    def elsewhere(self, own_shed: float) -> bool | None:
+    def elsewhere(self) -> bool | None:
         """Whether a shed should be tried at another server: no where most peers are full themselves; None
         where nothing is known of them, and the one's own share of sheds decides, as without them."""
         if self.seen is None:
--- a/tests/together/test_signals.py
+++ b/tests/together/test_signals.py
@@ -79,9 +79,9 @@
         """Alone slow: its sheds go elsewhere and it takes itself back after a while. All full: they do not,
         and it stays. Nothing known: as without the others."""
         judged = Judgement(0, lambda: 0.5)
-        self.assertIsNone(judged.elsewhere(0.9))
+        self.assertIsNone(judged.elsewhere())
         judged.weigh(0, 2.5, [WELL] * 10)
-        self.assertEqual((judged.elsewhere(0.9), judged.back), (True, False))
+        self.assertEqual((judged.elsewhere(), judged.back), (True, False))
         judged.weigh(LASTS, 2.5, [WELL] * 10)
         self.assertTrue(judged.back)
         judged.weigh(LASTS + 1, 1.0, [WELL] * 10)
@@ -90,7 +90,7 @@
         slow = [FULL._replace(pace=2.4)] * 10
         for now in (0, LASTS, 3 * LASTS):
             judged.weigh(now, 2.5, slow)
-        self.assertEqual((judged.elsewhere(0.9), judged.back), (False, False))
+        self.assertEqual((judged.elsewhere(), judged.back), (False, False))
 
     def test_few_take_themselves_back(self):
         """A third of the fleet turns slow together: no more than a tenth and one a look of it goes, the rest
