--- a/gullyoke/routing/limit.py
+++ b/gullyoke/routing/limit.py
@@ -14,8 +14,8 @@
     `usual` is the lowest smoothed time seen, and what a probe sees: now and then a back end that is used up
     gets half of its limit for as long as it takes to measure a few runs. Without probes one that was crowded
     from the start would look usual; with a usual time that drifts upwards instead, the limit crept up with
-    it without end (tried, 47 where 8 crowd; tests/test_routing.py). It needs no knowledge of handlers: a mix
-    that changes moves it at the next probe. Times in microseconds."""
+    it without end (tried, 47 where 8 crowd; tests/routing). It needs no knowledge of handlers: a mix that
+    changes moves it at the next probe. Times in microseconds."""
 
     def __init__(self, first: int, least: int, most: int) -> None:
         self.least, self.most = least, most
--- a/tests/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -17,7 +17,7 @@
 from gullyoke.operator.read import read
 from gullyoke.operator.wanted import Faulty
 
-ROOT = pathlib.Path(__file__).parent.parent
+ROOT = pathlib.Path(__file__).parents[2]
 WELL_KNOWN = pathlib.Path(grpc_tools.__file__).parent / "_proto"
 BACK = 'backends { backend { address: "127.0.0.1:9001" } '
 
--- a/tests/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -136,7 +136,7 @@
 
 class Routing(unittest.TestCase):
     def test_scenarios(self):
-        paths = sorted(HERE.glob("routing/*.txt"))
+        paths = sorted(HERE.glob("*.txt"))
         self.assertTrue(paths)
         for path in paths:
             with self.subTest(path.stem):
--- a/tests/test_scgi.py
+++ b/tests/scgi/test_scgi.py
@@ -18,7 +18,7 @@
 
 class Scgi(unittest.TestCase):
     def test_scenarios(self):
-        paths = sorted(HERE.glob("scgi/*.txt"))
+        paths = sorted(HERE.glob("*.txt"))
         self.assertTrue(paths)
         for path in paths:
             with self.subTest(path.stem), contextlib.closing(Sockets()) as scene:
--- a/tests/test_remember.py
+++ b/tests/store/test_remember.py
@@ -1,7 +1,7 @@
 """What is remembered over a restart, and when it is trusted."""
 import unittest
 
-from test_emulator import W
+from emulator.test_emulator import W
 
 from gullyoke.emulator.day import SECOND, Machines, drawn
 from gullyoke.emulator.fleet import Running, deciding
--- a/tests/test_store.py
+++ b/tests/store/test_store.py
@@ -18,7 +18,7 @@
 from gullyoke.store import Committer, Disk, Faulted, Full, Store
 from gullyoke.store.record import Found, Record, pack, scan
 
-ROOT = pathlib.Path(__file__).parent.parent
+ROOT = pathlib.Path(__file__).parents[2]
 
 
 class Memory:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -4,9 +4,9 @@
 import unittest
 
 from click.testing import CliRunner
+from emulator.test_emulator import W
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_emulator import W
 
 from gullyoke.cli.main import main
 from gullyoke.emulator.day import SECOND, Machines, Shared, drawn
