Slots that a server uses only while they are surely its own, lent on the members' datagrams

What a server has in hand below has to stay within its share even when that shrinks or runs out under calls that are out.

Change: the port has what others of a fleet can state to the decisions (Slots, Beside), with nothing known as the default. Calls below ask for a free slot, end by when it is surely theirs, and count a lost one to the end of its linger (gullyoke/together/slots.py). What is in use when a loan shrinks is given back once it is over; who is short asks again after 250 ms. Letters of a topic travel on the members' datagrams; shares are the first (gullyoke/peers/sharing.py), set by fleet.shares in the operator's file. Signals and shares are parts of the fleet's feature, a unit each; with fleet.heed advice, 'do not try elsewhere' and health answers follow the others' signals.

Result (model): over 16 plays of pauses, restarts, cuts and swinging needs the dependency never has more in hand than the limit, and in over half of them more than 0.8 of it; a shrunk loan told at once, or calls that outlive theirs, is found.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -237,8 +237,8 @@
     and its linger, together stay under our share of the span, also where the share is under one call.
     Tables: the line (left when let out or given up) and `spent` (calls that ended, gone after the span)."""
 
-    def __init__(self, now: int, share: float | None, span: int, linger: int) -> None:
-        self.share, self.span, self.linger = share, span, linger
+    def __init__(self, now: int, share: float | None, span: int, linger: int, slots) -> None:
+        self.share, self.span, self.linger, self.slots = share, span, linger, slots
         self.budget = math.inf if share is None else 0.95 * share * span
         self.line, self.spent, self.used, self.booked = [], deque(), 0, 0
         self.window, self.out, self.most = math.inf, 0, 0    # at once: allowed, now, most lately
@@ -252,18 +252,19 @@
 
     def try_for(self, req, now: int) -> int:
         """The patience with a call: a few usual ones (ours), or a quarter of what is left if more."""
-        if self.share is None:                    # no bound is stated, and no span
-            return max(1, req.due - now)
+        if self.share is None:                    # no bound is stated, and no span: slots at the most
+            return max(1, min(req.due, self.slots.until(now) - self.linger) - now)
         most = min(max(4 * self.lately, self.left(now) / 4), 2 * self.span // 5, self.budget - self.linger)
         return max(1, int(min(req.due - now, most)))
 
     def room(self, req, now: int) -> bool:
         """Whether one more stays within our share, however long it takes."""
-        quiet = now < self.hush or self.out >= self.window
+        quiet = now < self.hush or self.out >= self.window or not self.slots.free(now, len(self.line))
         return not quiet and self.try_for(req, now) + self.linger <= self.left(now)
 
     def began(self, patience: int) -> None:
         self.booked, self.out = self.booked + patience + self.linger, self.out + 1
+        self.slots.began()
         self.most = max(self.most, self.out)
 
     def adjust(self) -> None:
@@ -277,6 +278,7 @@
         self.booked -= patience + self.linger
         self.told, self.out = now, self.out - 1
         lost = word not in (Word.CALL_OK, Word.CALL_UNRUN)
+        self.slots.ended(now, lost)
         alone = lost and (self.well > now - took or word is Word.CALL_SPOILT and not self.spoilt)
         self.spoilt = word is Word.CALL_SPOILT
         spent = took + (self.linger if lost else 0)
@@ -298,7 +300,7 @@
         old = not self.booked and not self.line and now > self.told + self.lately
         call = 0.0 if old else self.lately        # the next call tells how it stands below
         if self.share is None:
-            return call * (1 + len(self.line) / 8)
+            return call * (1 + len(self.line) / self.slots.pace(now))
         short = max(0.0, min(self.budget, self.linger + 4 * call) - self.left(now))
         return call + (len(self.line) * call + short) / min(self.share, self.window)
 
@@ -348,8 +350,8 @@
 class Advice:
     """Health answers, and when those turned away should come back."""
 
-    def __init__(self, door, permits) -> None:
-        self.door, self.permits, self.level = door, permits, 1.0
+    def __init__(self, door, permits, beside) -> None:
+        self.door, self.permits, self.beside, self.level = door, permits, beside, 1.0
         self.shedding, self.idle, self.told = 0.0, permits.longest_idle / 10, permits.longest_idle
         door.health(True, True)                              # checks are answered from store, at little cost
 
@@ -357,8 +359,8 @@
         self.saw(True)
         # Short: callers that all stay away for long move in herds, and overrun one server after another.
         longest = self.permits.longest_retry_in if self.permits.retry_in else 0
-        wait = longest if leaving else min(longest, 25_000 + int(ahead) // 3)
-        return Shed(wait, hopeless or self.shedding > 0.25)
+        wait = longest if leaving else min(longest, self.beside.stay(25_000 + int(ahead) // 3))
+        return Shed(wait, hopeless or self.beside.full(self.shedding > 0.25))
 
     def connections(self, links: float | None, callers: int) -> None:
         """Guards against a table full of connections that hardly speak, which costs work and turns callers
@@ -391,8 +393,9 @@
         self.pools = pools                                   # gullyoke/pools.py, or None: off
         self.now, self.door, self.stage = now, door, Stage(door)    # of `chance` nothing is drawn so far
         self.machine, self.fleet = machine, fleet
-        self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits)
-        self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger)
+        self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits, fleet.beside)
+        self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger,
+                                below.slots)
         self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
         self.open: dict = {}                                 # reqs in hand; each leaves at its end
         self.on = self.off = self.last_read = self.unread = 0
--- a/gullyoke/emulator/shares.py
+++ b/gullyoke/emulator/shares.py
@@ -1,6 +1,6 @@
 """Shares without sockets: processes with clocks of their own that lend and borrow, and a network between
-them that loses, delays and doubles. What is in force is summed at every event. All figures from here are
-simulated."""
+them that loses, delays and doubles. What is in force is summed at every event; where processes use what they
+have, so is what a dependency has in hand. All figures from here are simulated."""
 from __future__ import annotations
 
 import heapq
@@ -8,10 +8,12 @@
 import random
 
 from gullyoke.together.sharing import ASKER, LENDER, VOTER, Letter, Sharing
+from gullyoke.together.slots import Own
 from gullyoke.together.spans import RATE
 
 SECOND = 1_000_000
 TURN = 100_000
+LINGER = 300_000                       # a call given up, or whose process ended, stays below for so long
 
 
 class Process:
@@ -26,6 +28,9 @@
         self.part = Sharing(self.now(), chance.getrandbits(40), play.homes, play.tokens, play.floor, home,
                             votes)
         self.borrower = self.part.borrower
+        self.own = Own(self.now(), self.part, LINGER)
+        self.calls = 0                                # how many it would make at once
+        self.out: set[Call] = set()
 
     @property
     def need(self) -> int:
@@ -39,11 +44,29 @@
         return self.ahead + int(self.play.now * self.rate)
 
     def turn(self) -> None:
-        for letter in self.part.turn(self.now()):
+        if self.calls:
+            self.call()
+        for letter in (self.own if self.calls else self.part).turn(self.now()):
             self.post(letter, "")
 
+    def call(self) -> None:
+        """Calls as slots are free, each given up by when it has to be over. The dependency keeps that time as
+        well: it is told of it, and a process that stands still can't give anything up."""
+        while len(self.out) < self.calls and self.own.free(self.now(), self.calls - len(self.out) - 1):
+            now, call = self.now(), Call(self)
+            most = min(self.own.until(now) - now, 60 * SECOND) - LINGER
+            self.own.began()
+            self.out.add(call)
+            span = self.play.chance.randrange(10_000, 6 * SECOND)
+            self.play.below += 1
+            self.play.worst_below = max(self.play.worst_below, self.play.below)
+            if span <= most:                          # it comes back by itself
+                self.play.after(int(span / self.rate), call.over)
+            else:
+                self.play.after(int(most / self.rate), call.given_up)
+
     def hear(self, from_: str, message) -> None:
-        letter = self.part.hear(self.now(), message)
+        letter = (self.own if self.calls else self.part).hear(self.now(), message)
         if letter is not None:
             self.post(letter, from_)
 
@@ -58,6 +81,37 @@
         return self.borrower.in_force(self.now()) - self.borrower.floor
 
 
+class Call:
+    """One call below. The dependency has it in hand until it is over, or its linger is."""
+
+    def __init__(self, process: Process) -> None:
+        self.process, self.play, self.below = process, process.play, True
+
+    def over(self) -> None:
+        """Its answer has come; one that stands still reads it later."""
+        if self.below:
+            self.below = False
+            self.play.below -= 1
+        self.read(False)
+
+    def given_up(self) -> None:
+        self.play.after(self.play.chance.randrange(LINGER), self.gone)
+        self.read(True)
+
+    def gone(self) -> None:
+        if self.below:
+            self.below = False
+            self.play.below -= 1
+
+    def read(self, lost: bool) -> None:
+        process = self.process
+        if process.paused > self.play.now:
+            self.play.after(process.paused - self.play.now, lambda: self.read(lost))
+        elif process.up and self in process.out:
+            process.out.discard(self)
+            process.own.ended(process.now(), lost)
+
+
 class Play:
     """`homes` are names; a message to one goes to the process at its address, which is that of its first
     start."""
@@ -72,6 +126,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.takes: dict[tuple[str, str], str] = {}   # whom a process takes for a home, if another
         self.worst = 0                                # of one home's tokens, the most that were in force
+        self.below = self.worst_below = 0             # calls in hand there, now and at the most
         for name in self.homes:
             self.start(name, name)
         for i in range(others):
@@ -84,7 +139,10 @@
         return process
 
     def kill(self, key: str) -> None:
-        self.processes[key].up = False
+        process = self.processes[key]
+        process.up = False
+        for call in process.out:                      # their connections end with it
+            self.after(self.chance.randrange(LINGER), call.gone)
 
     def after(self, span: int, act) -> None:
         heapq.heappush(self.queue, (self.now + span, next(self.count), act))
--- a/gullyoke/features/fleet.py
+++ b/gullyoke/features/fleet.py
@@ -1,7 +1,7 @@
 """Membership in a fleet, where the operator's file names one: who is there, on sockets, beside the reqs.
 
-Nothing of it is in a req's way: what the decisions get of it is the fleet's size, one figure a second.
-Whatever fails here, the four rules hold."""
+Nothing of it is in a req's way: what the decisions get of it is the fleet's size, one figure a second, and
+what its parts state (gullyoke/features/part.py). Whatever fails here, the four rules hold."""
 from __future__ import annotations
 
 import random
@@ -9,17 +9,17 @@
 
 from gullyoke.core import clock
 from gullyoke.core.book import log, pairs
-from gullyoke.core.desk import Desk
 from gullyoke.daemon.house import House
+from gullyoke.features.part import Part
 from gullyoke.features.unit import Plain
 from gullyoke.members import Change, Member, Row, Status, began
+from gullyoke.members.row import identity
 from gullyoke.operator.wanted import Kept, Together, Wanted
 from gullyoke.options import Misstated
 from gullyoke.peers.ask import Answers
 from gullyoke.peers.kept import Number
 from gullyoke.peers.link import Link
 from gullyoke.peers.seal import Seal, Unusable, keys_in
-from gullyoke.together.signals import Heard, Judgement, Reading, Stage, Telling
 
 LOOK = 1_000_000                       # microseconds between looks at the size
 LAST_WORDS, BETWEEN = 3, 0.02          # how often it is said that this one has left, and seconds between
@@ -36,10 +36,9 @@
         self.link: Link | None = None
         self.member: Member | None = None
         self.number: Number | None = None
-        self.told = self.size = self.woke = 0
+        self.told = self.size = 0
         self.read: tuple[bytes, ...] = ()             # the keys of a file that is about to be taken over
-        self.telling = Telling()
-        self.judgement: Judgement | None = None
+        self.parts: list[Part] = made(wanted)
 
     def held(self) -> int:
         return DESCRIPTORS
@@ -67,10 +66,8 @@
         self.number.keep(row.number)
         self.member = Member(clock.now(), row, wanted.seeds, chance)
         self.member.heed.append(self.changed)
-        if wanted.signals:
-            self.link.signals = Heard()
-            self.member.signalled = self.link.signals.hear
-            self.judgement = Judgement(clock.now(), chance.random)
+        for part in self.parts:
+            part.begin(self)
         self.link.begin(self.member)
         if self.answers:
             self.answers.start()
@@ -92,8 +89,8 @@
         """The size in force, given to the decisions where that is wanted."""
         house = self.house
         house.timer.at(clock.now() + LOOK, self.look)
-        if self.judgement is not None:
-            self.signals()
+        for part in self.parts:
+            part.look(clock.now())
         with self.link.lock:
             size = self.member.size(clock.now())
         in_force = size.in_force(self.told)
@@ -105,39 +102,28 @@
         log.info("fleet size", extra=pairs(size=in_force, told=self.told, seen=size.seen,
                                            age_ms=size.age // 1000, confidence=f"{size.confidence:.2f}"))
 
-    def signals(self) -> None:
-        """How this one stands is told, and weighed against the others. It acts on nothing so far: what comes
-        of it is said in the log and in the status."""
-        desk = self.house.desk
-        with desk.lock:                               # a few figures
-            reading = None if desk.server is None else standing(desk)
-        if reading is None:
-            return
-        with self.link.lock:
-            now = clock.now()
-            if self.member.trust.woke != self.woke:
-                self.woke = self.member.trust.woke
-                self.link.signals.paused()
-            was = self.judgement.back
-            self.judgement.weigh(now, reading.pace, self.link.signals.young(now))
-            self.member.signal = self.telling.word(reading)
-        if self.judgement.back != was:
-            self.house.book.add("fleet.slow_alone" if self.judgement.back else "fleet.well_again")
-            log.warning("slow alone" if self.judgement.back else "no longer slow alone", extra=pairs(
-                pace=f"{reading.pace:.2f}", peers=f"{self.judgement.seen.pace:.2f}"
-                if self.judgement.seen else "-"))
-
     def print(self) -> None:
         with self.link.lock:
             one, size = self.member, self.member.size(clock.now())
             stage, view, digest = one.entry.stage.value, one.view.number, one.view.digest
         log.info("fleet", extra=pairs(stage=stage, members=size.members, seen=size.seen, view=view,
                                       digest=f"{digest:016x}", confidence=f"{size.confidence:.2f}"))
+        for part in self.parts:
+            part.print()
+
+    def taken(self, name: str) -> str | None:
+        """The address of whom the view takes for a name; under the link's lock."""
+        row = self.member.view.rows.get(identity(name))
+        return row.address if row is not None else None
 
     def leave(self) -> None:
+        for part in self.parts:
+            part.leave()
         self.link.act(lambda: self.member.leave(clock.now()))
 
     def end(self) -> None:
+        for part in self.parts:
+            part.end()
         for _ in range(LAST_WORDS):
             self.link.act(lambda: self.member.left(clock.now()))
             time.sleep(BETWEEN)
@@ -169,13 +155,13 @@
                 and getattr(self.wanted, name) != getattr(new.fleet, name)]
 
 
-def standing(desk: Desk) -> Reading:
-    """How this server stands, in the words of the signals; under the desk's lock."""
-    server = desk.server
-    busy = server.on + server.hold.size
-    room = max(0.0, 1 - busy / max(1.0, server.cap.now))
-    # A run's usual time over what is taken for it before any has run: the same yardstick on all servers.
-    paces = [cost / (handler.target / 6) for handler, cost in server.hold.cost.items()]
-    cold = server.guards.speed(desk.now) < 1
-    stage = Stage.DRAINING if desk.stop_at is not None else Stage.COLD if cold else Stage.WARM
-    return Reading(room, server.advice.shedding, sum(paces) / max(1, len(paces)), stage)
+def made(wanted: Together) -> list[Part]:
+    """The parts that the file asks for."""
+    parts: list[Part] = []
+    if wanted.signals:
+        from gullyoke.features.signals import Signals
+        parts.append(Signals(wanted.heed))
+    if wanted.shares is not None:
+        from gullyoke.features.shares import Shares
+        parts.append(Shares(wanted.shares))
+    return parts
--- /dev/null
+++ b/gullyoke/features/signals.py
@@ -0,0 +1,66 @@
+"""How this server stands is told to the others on the members' datagrams, and theirs weighed: is it slow, or
+is the fleet full? Where the file says so, advice and health answers follow."""
+from __future__ import annotations
+
+import random
+
+from gullyoke.core import clock
+from gullyoke.core.book import log, pairs
+from gullyoke.core.desk import Desk
+from gullyoke.features.fleet import Fleet
+from gullyoke.features.part import Part
+from gullyoke.together.signals import Heard, Judgement, Reading, Stage, Telling
+
+
+class Signals(Part):
+    """`heed`: whether what the others tell is acted on, or only shown."""
+
+    def __init__(self, heed: bool) -> None:
+        self.heed, self.telling, self.woke = heed, Telling(), 0
+        self.fleet: Fleet | None = None
+        self.judgement: Judgement | None = None
+
+    def begin(self, fleet: Fleet) -> None:
+        self.fleet, told = fleet, fleet.house.told
+        fleet.link.signals = Heard()
+        fleet.member.signalled = fleet.link.signals.hear
+        self.judgement = Judgement(random.Random(told.seed ^ 0x51C).random)
+        if self.heed:
+            told.facts.fleet.beside = self.judgement
+
+    def look(self, now: int) -> None:
+        fleet, desk, judged = self.fleet, self.fleet.house.desk, self.judgement
+        with desk.lock:                               # a few figures
+            reading = None if desk.server is None else standing(desk)
+        if reading is None:
+            return
+        with fleet.link.lock:
+            now = clock.now()
+            if fleet.member.trust.woke != self.woke:
+                self.woke = fleet.member.trust.woke
+                fleet.link.signals.paused()
+            was = judged.back
+            judged.weigh(now, reading, fleet.link.signals.young(now))
+            if judged.back and self.heed and reading.stage is Stage.WARM:
+                reading = reading._replace(stage=Stage.BACK)
+            fleet.member.signal = self.telling.word(reading)
+        if judged.back != was:
+            self.turned(reading)
+
+    def turned(self, reading: Reading) -> None:
+        """Alone slow from now on, or no longer: checks say so, unless it leaves anyway."""
+        judged, house = self.judgement, self.fleet.house
+        if self.heed and house.desk.stop_at is None:
+            house.standing.good = not judged.back
+        house.book.add("fleet.slow_alone" if judged.back else "fleet.well_again")
+        log.warning("slow alone" if judged.back else "no longer slow alone", extra=pairs(
+            pace=f"{reading.pace:.2f}", peers=f"{judged.seen.pace:.2f}" if judged.seen else "-",
+            acted=self.heed))
+
+
+def standing(desk: Desk) -> Reading:
+    """How this server stands, in the words of the signals; under the desk's lock."""
+    server = desk.server
+    cold = server.guards.speed(desk.now) < 1
+    stage = Stage.DRAINING if desk.stop_at is not None else Stage.COLD if cold else Stage.WARM
+    return Reading.of(server, stage)
--- a/gullyoke/members/words.py
+++ b/gullyoke/members/words.py
@@ -74,7 +74,14 @@
     differ: int = 0
 
 
-Message = Ping | Ack | Ask | Gossip | Hello | Compare | Rows
+class Letter(NamedTuple):
+    """What is no affair of membership: `topic` says whose it is, `body` is in that one's own form."""
+    row: Row
+    topic: int
+    body: bytes
+
+
+Message = Ping | Ack | Ask | Gossip | Hello | Compare | Rows | Letter
 
 
 class Send(NamedTuple):
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -7,7 +7,18 @@
 
 from gullyoke.operator import operator_pb2 as schema
 from gullyoke.operator.checked import parsed
-from gullyoke.operator.wanted import Address, BackEnd, Classed, Ejecting, Kept, Pooled, Together, Wanted, Way
+from gullyoke.operator.wanted import (
+    Address,
+    BackEnd,
+    Classed,
+    Ejecting,
+    Kept,
+    Pooled,
+    Slotted,
+    Together,
+    Wanted,
+    Way,
+)
 
 
 def read(path: str) -> Wanted:
@@ -47,6 +58,13 @@
             yield f"fleet.seed[{i}]", f"{seed!r} stands twice; right would be once"
     if found.HasField("fleet") and found.fleet.status in own:
         yield "fleet.status", "it is the address of the datagrams; right would be one of its own"
+    names, homes = set(), found.fleet.shares.home
+    for i, home in enumerate(homes):
+        if home.name in names:
+            yield f"fleet.shares.home[{i}].name", f"{home.name!r} stands twice; right would be once"
+        names.add(home.name)
+    if homes and len(homes) % 2 == 0:
+        yield "fleet.shares.home", f"{len(homes)} of them; right would be an odd number"
     eject = found.backends.ejection
     first = eject.first_out_ms or 1000
     if eject.HasField("longest_out_ms") and eject.longest_out_ms < first:
@@ -104,4 +122,11 @@
 def together(found: schema.Fleet) -> Together:
     return Together(found.name, address(found.listen), found.advertise or found.listen, tuple(found.seed),
                     found.zone or "-", found.key_file, address(found.status) if found.status else None,
-                    found.size, found.signals)
+                    found.size, found.signals or found.heed, found.heed,
+                    shared(found.shares) if found.HasField("shares") else None)
+
+
+def shared(found: schema.Shares) -> Slotted:
+    return Slotted({home.name: home.address for home in found.home}, found.slots, found.largest,
+                  found.floor_share if found.HasField("floor_share") else 0.25,
+                  found.weight if found.HasField("weight") else 1.0)
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -68,6 +68,15 @@
     quota: int
 
 
+class Slotted(NamedTuple):
+    """What all servers may have in hand below; `homes`, who lends, addresses by name."""
+    homes: dict[str, str]
+    slots: int
+    largest: int
+    floor_share: float
+    weight: float
+
+
 class Together(NamedTuple):
     """The fleet that this server is a member of, and how the others are reached."""
     name: str
@@ -79,6 +88,8 @@
     status: tuple[str, int] | None
     size: bool
     signals: bool = False
+    heed: bool = False
+    shares: Slotted | None = None
 
 
 class Wanted(NamedTuple):
--- a/gullyoke/peers/ask.py
+++ b/gullyoke/peers/ask.py
@@ -80,7 +80,8 @@
             "digest": f"{one.view.digest:016x}", "members": size.members, "seen": size.seen,
             "age_ms": size.age // 1000, "confidence": round(size.confidence, 2),
             "unsure": one.trust.unsure(now), "failing": round(one.trust.failing, 2),
-            "lost": round(one.trust.lost, 2), "rows": rows}
+            "lost": round(one.trust.lost, 2), "rows": rows,
+            **{name: tell(now) for name, tell in link.told.items()}}
 
 
 def events(link: Link) -> dict:
--- a/gullyoke/peers/codec.py
+++ b/gullyoke/peers/codec.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from gullyoke.members.row import TURNS, Entry, Kind, Mark, News, Report, Row, Status
-from gullyoke.members.words import WHOLE, Ack, Ask, Compare, Gossip, Hello, Message, Ping, Rows
+from gullyoke.members.words import WHOLE, Ack, Ask, Compare, Gossip, Hello, Letter, Message, Ping, Rows
 
 VERSION = 1
 LONGEST = 1200                         # bytes of a datagram, its seal included
@@ -54,9 +54,10 @@
     figures: list[int] = []
     rows: list[RowWire] = []
     signal: int = 0
+    body: bytes = b""
 
 
-KINDS = (Ping, Ack, Ask, Gossip, Hello, Compare, Rows)
+KINDS = (Ping, Ack, Ask, Gossip, Hello, Compare, Rows, Letter)
 decode = msgspec.msgpack.Decoder(Wire).decode
 encode = msgspec.msgpack.Encoder().encode
 
@@ -107,6 +108,8 @@
     head = VERSION, KINDS.index(type(message)), row_out(message.row)
     if isinstance(message, Hello):
         return encode(Wire(*head))
+    if isinstance(message, Letter):
+        return encode(Wire(*head, about=message.topic, body=message.body))
     if isinstance(message, Compare):
         return encode(Wire(*head, figures=list(message.buckets)))
     if isinstance(message, Rows):
@@ -137,6 +140,8 @@
     kind, sender = KINDS[wire.kind], row_in(wire.sender)
     if kind is Hello:
         return Hello(sender)
+    if kind is Letter:
+        return Letter(sender, wire.about, wire.body)
     if kind is Compare:
         return Compare(sender, tuple(wire.figures))
     if kind is Rows:
--- a/gullyoke/peers/link.py
+++ b/gullyoke/peers/link.py
@@ -9,12 +9,13 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from gullyoke.core import clock
 from gullyoke.core.book import Book
-from gullyoke.members import TICK, Member
-from gullyoke.members.words import Send
+from gullyoke.members import TICK, Member, Row
+from gullyoke.members.words import Letter, Send
 from gullyoke.peers import codec
 from gullyoke.peers.seal import Counts, Seal
 
@@ -25,8 +26,21 @@
 KNOWN = 4096                           # addresses that are kept in the system's form
 
 
+Post = tuple[str, bytes]               # an address, and what a topic says to whoever is there
+
+
+class Topic(Protocol):
+    """One that sends letters of its own beside membership. Called under the link's lock, by its thread."""
+
+    def turn(self, now: int) -> Iterable[Post]: ...
+
+    def hear(self, now: int, sender: Row, body: bytes) -> Iterable[Post]:
+        """Raises `Malformed` for what is none of its letters."""
+
+
 class Link(threading.Thread):
-    """Tables: `known`, addresses in the system's form, emptied when there are KNOWN."""
+    """Tables: `known`, addresses in the system's form, emptied when there are KNOWN; `topics`, by number, who
+    else sends by this; `told`, what else `fleet status` says, by name."""
 
     def __init__(self, listen: tuple[str, int], seal: Seal, book: Book) -> None:
         """Raises `OSError` where it can't listen there."""
@@ -42,6 +56,8 @@
         self.seal, self.book, self.counts = seal, book, Counts()
         self.member: Member | None = None
         self.signals = None                           # what others told of how they stand, if wanted
+        self.topics: dict[int, Topic] = {}
+        self.told: dict[str, Callable[[int], object]] = {}
         self.lock = threading.Lock()
         self.known: dict[str, tuple[str, int]] = {}
         self.due, self.ended = 0, threading.Event()
@@ -65,7 +81,7 @@
         now = clock.now()
         if now >= self.due:
             self.due = now + TICK
-            self.act(lambda: self.member.tick(now))
+            self.act(lambda: self.tick(now))
         self.sock.settimeout(max(0.0005, (self.due - clock.now()) / 1e6))
         for _ in range(BURST):
             try:
@@ -96,13 +112,33 @@
             self.book.add("peers.dropped.old")
             return
         now = clock.now()
-        self.act(lambda: self.member.hear(now, message))
+        if not isinstance(message, Letter):
+            self.act(lambda: self.member.hear(now, message))
+        elif message.topic in self.topics:
+            self.act(lambda: self.letter(now, message))
+        else:
+            self.book.add("peers.dropped.topic")
+
+    def tick(self, now: int) -> list[Send]:
+        self.member.tick(now)
+        return [send for number, topic in self.topics.items()
+                for send in self.posted(number, topic.turn(now))]
+
+    def letter(self, now: int, letter: Letter) -> list[Send]:
+        try:
+            return self.posted(letter.topic, self.topics[letter.topic].hear(now, letter.row, letter.body))
+        except codec.Malformed:
+            self.book.add("peers.dropped.malformed")
+            return []
+
+    def posted(self, topic: int, posts: Iterable[Post]) -> list[Send]:
+        return [Send(address, Letter(self.member.row, topic, body)) for address, body in posts]
 
-    def act(self, act: Callable[[], None]) -> None:
+    def act(self, act: Callable[[], list[Send] | None]) -> None:
         """Let the decisions go on, and send what they want sent."""
         with self.lock:
-            act()
-            out = self.member.take()
+            more = act() or []
+            out = self.member.take() + more
         for send in out:
             self.send(send)
 
--- /dev/null
+++ b/gullyoke/peers/sharing.py
@@ -0,0 +1,120 @@
+"""Shares on the members' datagrams: their letters as bytes, to whom each goes, and the slots that the
+decisions ask, behind one small lock.
+
+A body is a MessagePack array: the digest of the stated homes and limit, the kind, and its fields. What
+another release appends is passed over; letters of a fleet stated otherwise are dropped: their tokens are
+others."""
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from gullyoke.members.row import Row, whole
+from gullyoke.peers.codec import Malformed
+from gullyoke.peers.link import Post
+from gullyoke.together.shares import Claim, Grant, Promise, Return, Want
+from gullyoke.together.sharing import ASKER, LENDER, Letter, Message
+from gullyoke.together.slots import Own
+
+TOPIC = 1
+KINDS = (Claim, Promise, Want, Grant, Return)
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(tuple[int, int, list]).decode
+
+
+def stated(homes: Mapping[str, str], tokens: int, floor: int) -> int:
+    """The digest of what has to be stated alike."""
+    return whole(" ".join([*(f"{name}@{at}" for name, at in sorted(homes.items())), str(tokens), str(floor)]))
+
+
+def pack(digest: int, message: Message) -> bytes:
+    return encode((digest, KINDS.index(type(message)), tuple(message)))
+
+
+def unpack(digest: int, body: bytes) -> Message | None:
+    """None for a fleet that is stated otherwise. Raises `Malformed`."""
+    try:
+        of, kind, fields = decode(body)
+        if of != digest:
+            return None
+        if not 0 <= kind < len(KINDS):
+            raise Malformed(f"a share's letter of kind {kind}")
+        made = KINDS[kind]
+        message = msgspec.convert(fields[:len(made._fields)], made)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+        raise Malformed(str(fault)) from None
+    if any(isinstance(x, int | float) and not 0 <= x < 2**64 for x in message):
+        raise Malformed("a figure out of bounds")
+    return message
+
+
+class SharedSlots:
+    """`homes`: stated addresses by name. `taken` gives the address of whom the view takes for a name. It is
+    a `Slots` for the decisions, under the desk's lock, and a `Topic` for the link; `lock` is held for
+    moments."""
+
+    def __init__(self, own: Own, homes: Mapping[str, str], digest: int,
+                 taken: Callable[[str], str | None]) -> None:
+        self.own, self.homes, self.digest, self.taken = own, dict(homes), digest, taken
+        self.lock = threading.Lock()
+        self.others = 0                               # letters of a fleet stated otherwise
+
+    # For the decisions.
+
+    def free(self, now: int, waiting: int) -> bool:
+        with self.lock:
+            return self.own.free(now, waiting)
+
+    def until(self, now: int) -> float:
+        with self.lock:
+            return self.own.until(now)
+
+    def pace(self, now: int) -> float:
+        with self.lock:
+            return self.own.pace(now)
+
+    def began(self) -> None:
+        with self.lock:
+            self.own.began()
+
+    def ended(self, now: int, lost: bool) -> None:
+        with self.lock:
+            self.own.ended(now, lost)
+
+    # For the link.
+
+    def turn(self, now: int) -> list[Post]:
+        with self.lock:
+            letters = self.own.turn(now)
+        return [post for letter in letters for post in self.post(letter, "")]
+
+    def hear(self, now: int, sender: Row, body: bytes) -> Iterable[Post]:
+        message = unpack(self.digest, body)
+        if message is None:
+            self.others += 1
+            return ()
+        # A vote counts from the process at the voter's stated address alone.
+        if isinstance(message, Promise) and self.homes.get(message.by) != sender.address:
+            return ()
+        with self.lock:
+            letter = self.own.hear(now, message)
+        return self.post(letter, sender.address) if letter is not None else ()
+
+    def post(self, letter: Letter, asker: str) -> list[Post]:
+        """A lender is whoever is taken for that home, a voter whoever is at its stated address."""
+        stated_at = self.homes.get(letter.home, "")
+        to = asker if letter.to == ASKER else \
+            self.taken(letter.home) or stated_at if letter.to == LENDER else stated_at
+        return [(to, pack(self.digest, letter.message))] if to else []
+
+    def told(self, now: int) -> dict[str, object]:
+        """How it stands, for the status and the log."""
+        with self.lock:
+            part, own = self.own.sharing, self.own
+            lent = part.lender.out(now) if part.lender else 0
+            return {"in_force": part.in_force(now), "floor": part.borrower.floor, "used": own.used(now),
+                    "need": part.need, "refused": own.refused, "home": part.home or "-",
+                    "lends": bool(part.lender and part.holding.lends(now)), "lent": lent,
+                    "others": self.others}
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gullyoke.port.beside import ALONE, UNSHARED, Beside, Slots
+
 
 class Kind(Enum):
     """Whether a handler's reqs may run again."""
@@ -68,11 +70,13 @@
 
 @dataclass(slots=True)
 class Below:
-    """What reqs call while they run. `share` is None where no bound is stated."""
+    """What reqs call while they run. `share` is None where no bound is stated; `slots`, what this server has
+    of those that all share."""
     exists: bool
     share: float | None
     span: int
     linger: int
+    slots: Slots = UNSHARED
 
 
 @dataclass(slots=True)
@@ -91,12 +95,14 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """The servers beside this one, how their work is counted, and how many callers there are."""
+    """The servers beside this one, how their work is counted, how many callers there are, and what the others
+    tell."""
     size: int
     by_work: bool
     over_share: float
     fresh_for: int
     callers: int = 0
+    beside: Beside = ALONE
 
 
 class Gauges(NamedTuple):
--- a/gullyoke/together/shares.py
+++ b/gullyoke/together/shares.py
@@ -10,6 +10,7 @@
 on who is alive is asked for: a failure detector that errs costs time, never a token."""
 from __future__ import annotations
 
+import math
 from collections.abc import Hashable, Iterable
 from typing import NamedTuple
 
@@ -18,7 +19,8 @@
 
 LEASE, LOAN = 3_000_000, 4_000_000     # microseconds for which a name and a loan are held
 RENEW = 1_000_000                      # both are asked for again after so long
-GROWTH = 8                             # a loan grows by one in so many of the home's tokens at once
+SHORT = RENEW // 4                     # and one home after so long by who is short
+GROWTH = 4                             # a loan grows by one in so many of the home's tokens at once
 ASKED = 3 * RENEW                      # what a borrower last wanted counts for so long
 
 
@@ -181,27 +183,40 @@
 
 
 class Borrower:
-    """One process's share: its floor by right, and what homes lend it. Tables: `held` and `asked`, one row a
-    home at the most."""
+    """One process's share: its floor by right, and what homes lend it. Tables: `held`, `asked` and `owed`,
+    one row a home at the most."""
 
     def __init__(self, life: int, floor: int, homes: Iterable[str], mine: str | None = None) -> None:
         self.life, self.floor = life, floor
         self.homes = sorted(homes, key=lambda home: (home != mine, home))
         self.held: dict[str, Held] = {}
         self.asked: dict[str, tuple[int, int]] = {}   # by home: the asking's number, and when it went out
-        self.seq, self.at, self.next, self.weight = 0, 0, 0, 1.0
+        self.owed: dict[str, int] = {}                # shrunk under what is in use: the number of that loan
+        self.seq, self.at, self.next, self.short, self.weight = 0, 0, 0, 0, 1.0
 
     def in_force(self, now: int) -> int:
         """What it may use at this moment. Asked again after every wait: time may have passed."""
         return self.floor + sum(held.tokens for held in self.held.values() if now < held.until)
 
+    def sure(self, now: int, count: int) -> float:
+        """Until when `count` are surely its own: infinite within the floor, now where they are not."""
+        count -= self.floor
+        if count <= 0:
+            return math.inf
+        for held in sorted(self.held.values(), key=lambda held: -held.until):
+            count -= held.tokens
+            if count <= 0:
+                return max(now, held.until)
+        return now
+
     def ask(self, now: int, need: int) -> list[Want]:
         """What to ask for now, so that all together comes to `need`: what is held is asked for again, what is
-        missing at one home more, the next one in turn."""
-        if now < self.next:
-            return []
-        self.next = now + RENEW
+        missing at one home more, the next one in turn; sooner where something is missing."""
         missing = max(0, need - self.in_force(now))
+        if now < self.next and not (missing and now >= self.short):
+            return []
+        renew = now >= self.next
+        self.next, self.short = now + RENEW if renew else self.next, now + SHORT
         surplus = max(0, self.in_force(now) - max(need, self.floor))
         wants = []
         turn = self.homes[self.at % len(self.homes)] if self.homes else None
@@ -212,17 +227,28 @@
             give = min(has, surplus)
             surplus -= give
             want = has - give + (missing if home == turn else 0)
-            if want or has:
+            if want and home == turn or renew and has:
                 self.seq += 1
                 self.asked[home] = self.seq, now
                 wants.append(Want(home, self.life, self.seq, want, self.weight))
         return wants
 
-    def hear(self, now: int, grant: Grant) -> Return | None:
-        """Shrinking acts at once, and is told to the home."""
+    def hear(self, now: int, grant: Grant, used: int = 0) -> Return | None:
+        """Shrinking acts at once, and is told to the home, less what is still in use of it."""
         seq, asked = self.asked.get(grant.home, (0, 0))
         if grant.borrower != self.life or grant.seq != seq:
             return None
         del self.asked[grant.home]
         self.held[grant.home] = Held(grant.tokens, asked + LOAN, seq)     # counted from before it asked
-        return Return(grant.home, self.life, seq, grant.tokens)
+        return self._back(now, grant.home, used)
+
+    def give_back(self, now: int, used: int) -> list[Return]:
+        """What was in use when it shrank and is no longer, told to its home."""
+        return [self._back(now, home, used) for home in list(self.owed)]
+
+    def _back(self, now: int, home: str, used: int) -> Return:
+        held, over = self.held[home], max(0, used - self.in_force(now))
+        self.owed.pop(home, None)
+        if over:
+            self.owed[home] = held.seq
+        return Return(home, self.life, held.seq, held.tokens + over)
--- a/gullyoke/together/sharing.py
+++ b/gullyoke/together/sharing.py
@@ -1,5 +1,7 @@
 """One process's part in a shared limit: it borrows, and where it is at a home it lends and votes. What it
-says and hears are the messages of gullyoke/together/shares.py; who carries them is not its affair."""
+says and hears are the messages of gullyoke/together/shares.py; who carries them is not its affair.
+
+`need` and `used` are told to it: what it would use, and what it has in use at this moment."""
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -30,7 +32,7 @@
         self.homes = tuple(homes)
         if home is not None and home not in self.homes:
             raise ValueError(f"{home!r} is none of the homes {', '.join(self.homes)}")
-        self.home, self.need = home, 0
+        self.home, self.need, self.used = home, 0, 0
         self.borrower = Borrower(life, floor, self.homes, home)
         self.voter = Voter(now, home, self.homes) if home and votes else None
         self.holding = Holding(home, life, self.homes) if home else None
@@ -45,6 +47,7 @@
         said: list[Letter] = []
         if self.holding and (claim := self.holding.claim(now)) is not None:
             said += [Letter(VOTER, home, claim) for home in self.homes]
+        said += [Letter(LENDER, back.home, back) for back in self.borrower.give_back(now, self.used)]
         return said + [Letter(LENDER, want.home, want) for want in self.borrower.ask(now, self.need)]
 
     def hear(self, now: int, message: Message) -> Letter | None:
@@ -59,7 +62,7 @@
             grant = self.lender.want(now, message) if self.lender and message.home == self.home else None
             return grant and Letter(ASKER, message.home, grant)
         elif isinstance(message, Grant):
-            back = self.borrower.hear(now, message)
+            back = self.borrower.hear(now, message, self.used)
             return back and Letter(LENDER, message.home, back)
         elif isinstance(message, Return) and self.lender and message.home == self.home:
             self.lender.returned(now, message)
--- a/gullyoke/together/signals.py
+++ b/gullyoke/together/signals.py
@@ -38,6 +38,14 @@
     pace: float
     stage: Stage
 
+    @classmethod
+    def of(cls, server, stage: Stage) -> Reading:
+        """That of a server of decisions (gullyoke/choice.py). A run's usual time is held against what is
+        taken for it before any has run: the same yardstick on all servers."""
+        room = max(0.0, 1 - (server.on + server.hold.size) / max(1.0, server.cap.now))
+        paces = [cost / (handler.target / 6) for handler, cost in server.hold.cost.items()]
+        return cls(room, server.advice.shedding, sum(paces) / max(1, len(paces)), stage)
+
     def pack(self) -> int:
         """14 bits. Pace is told in steps of a fifth, up to 3."""
         return (step(self.room) | step(self.shed) << 4 | min(STEPS, max(0, round(self.pace * 5))) << 8
@@ -121,20 +129,22 @@
 
 
 class Judgement:
-    """One server's answers to 'slow or full?'. `draw` gives a number from 0 to 1."""
+    """One server's answers to 'slow or full?': the part of the port that the decisions ask (`Beside`). `draw`
+    gives a number from 0 to 1."""
 
-    def __init__(self, now: int, draw: Callable[[], float]) -> None:
-        self.draw, self.back, self.since = draw, False, None
+    def __init__(self, draw: Callable[[], float]) -> None:
+        self.draw, self.back, self.since, self.room = draw, False, None, 0.0
         self.seen: Outlook | None = None
 
-    def weigh(self, now: int, pace: float, readings: list[Reading]) -> None:
+    def weigh(self, now: int, own: Reading, readings: list[Reading]) -> None:
         """Take the peers in, and see whether this one alone is slow. It comes back when it is well again or
         the others are as slow; both have to last."""
-        self.seen = seen = outlook(readings)
+        self.room, seen = own.room, outlook(readings)
+        self.seen = seen
         if seen is None:
             self.back, self.since = False, None       # on its own word alone nobody takes itself back
             return
-        ratio = pace / max(seen.pace, 0.2)
+        ratio = own.pace / max(seen.pace, 0.2)
         other = ratio >= SLOW and seen.back < BACK if not self.back else ratio <= WELL
         if not other:
             self.since = None
@@ -143,16 +153,15 @@
         elif now - self.since >= LASTS:
             self.back, self.since = not self.back, None
 
-    def elsewhere(self) -> bool | None:
-        """Whether a shed should be tried at another server: no where most peers are full themselves; None
-        where nothing is known of them, and the one's own share of sheds decides, as without them."""
-        if self.seen is None:
-            return None
-        return self.seen.full < 0.5
+    def full(self, alone: bool) -> bool:
+        """Whether a shed should not be tried at another server: where most peers are full themselves. Where
+        nothing is known of them, as without them."""
+        return alone if self.seen is None else self.seen.full >= 0.5
 
-    def advice(self, length: int, room: float) -> int:
+    def stay(self, wait: int) -> int:
         """How long a caller should stay away: longer where the others have more room than this one, and drawn
         around that, so that those who heed it do not come back together."""
-        if self.seen is not None:
-            length = int(length * (1 + max(0.0, min(1.0, self.seen.room - room))))
-        return max(1, int(length * (1 - SPREAD + 2 * SPREAD * self.draw())))
+        if self.seen is None:
+            return wait
+        wait = int(wait * (1 + max(0.0, min(1.0, self.seen.room - self.room))))
+        return max(1, int(wait * (1 - SPREAD + 2 * SPREAD * self.draw())))
--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -199,12 +199,17 @@
                                ('status: "127.0.0.1:7900"', "status: it is the address"),
                                ('status: "10.0.0.1:7900"', "status: .*loopback"),
                                ('zone: "A b"', "zone: 'A b' can't be"),
-                               ("seed: 'x'", r"seed\[1\]: 'x' can't")):
+                               ("seed: 'x'", r"seed\[1\]: 'x' can't"),
+                               ('shares { slots: 5 largest: 2 }', "shares.home: missing"),
+                               ('shares { home { name: "a" address: "h:1" } home { name: "b" '
+                                'address: "h:2" } slots: 5 largest: 2 }', "home: 2 of them; .*odd"),
+                               ('shares { home { name: "a" address: "h:1" } }', "slots: 0 can't be")):
                 path.write_text((FILE % key).replace("key_file", f"{more} key_file"))
                 with self.subTest(more), self.assertRaisesRegex(Faulty, said):
                     read(str(path))
             self.assertEqual(set(Together._fields) - {"seeds", "key_file"},
-                             {"name", "listen", "advertise", "zone", "status", "size", "signals"})
+                             {"name", "listen", "advertise", "zone", "status", "size", "signals", "heed",
+                              "shares"})
         self.assertEqual(len(CliRunner().invoke(main, ["fleet", "key"]).stdout.strip()), 64)
 
 
--- a/tests/together/test_shares.py
+++ b/tests/together/test_shares.py
@@ -10,6 +10,7 @@
 from gullyoke.together import shares
 from gullyoke.together.fair import parts, split
 from gullyoke.together.sharing import Sharing
+from gullyoke.together.slots import Own
 
 TOKENS = 24
 
@@ -46,6 +47,35 @@
     return play.worst
 
 
+def used(seed, span=24):
+    """As above, with processes that make calls as their slots allow: the most that a dependency had in hand,
+    and the limit."""
+    chance = random.Random(seed)
+    homes, floor = chance.choice((1, 3, 5)), chance.choice((0, 2))
+    play = Play(seed, homes=homes, others=3, tokens=TOKENS, floor=floor, loss=chance.choice((0, 0.2)),
+                slowest=chance.choice((5_000, 300_000)))
+    for one in play.processes.values():
+        one.calls = chance.choice((2, 20, 60))
+    play.run(12 * SECOND)
+    for _ in range(span):
+        play.run(play.now + chance.choice((1, 2, 5)) * SECOND)
+        key = chance.choice(list(play.processes))
+        process, what = play.processes[key], chance.randrange(5)
+        if what == 0:
+            process.paused = play.now + chance.randrange(9 * SECOND)
+        elif what == 1:
+            calls = process.calls
+            play.kill(key)
+            play.start(key, process.home).calls = calls
+        elif what == 2:
+            play.cut = {(chance.choice(list(play.processes)), chance.choice(play.homes)) for _ in range(5)}
+        elif what == 3:
+            play.cut = set()
+        else:
+            process.calls = chance.choice((1, 10, 60))
+    return play.worst_below, homes * TOKENS + floor * len(play.processes)
+
+
 class Shares(unittest.TestCase):
     def test_conserved(self):
         """Never more of one home's tokens than there are, at any event of any play; and not since nothing was
@@ -54,10 +84,46 @@
         self.assertLessEqual(max(worst), TOKENS)
         self.assertGreater(sum(one == TOKENS for one in worst), 12)
 
+    def test_in_hand_below(self):
+        """What the dependency has in hand never goes over the limit, through pauses, restarts, cuts and needs
+        that swing; and without one of these it does: what is in use when a loan shrinks stays out, and a
+        call ends with the loan it stands on."""
+        plays = [used(seed) for seed in range(16)]
+        self.assertTrue(all(most <= limit for most, limit in plays), plays)
+        self.assertGreater(sum(most > 0.8 * limit for most, limit in plays), 8)
+
+        def told_at_once(self, now, home, used):
+            return back(self, now, home, 0)
+
+        def any_time(self, now):
+            return now + 60 * SECOND
+
+        back = shares.Borrower._back
+        for what, guard in (("in use stays out", mock.patch.object(shares.Borrower, "_back", told_at_once)),
+                            ("ends with its loan", mock.patch.object(Own, "until", any_time))):
+            for cut in (False, True):
+                self.assertLessEqual(max(self.passed_on(seed, cut) for seed in range(4)), TOKENS)
+            with self.subTest(what), guard:
+                self.assertTrue(any(self.passed_on(seed, cut) > TOKENS for seed in range(6)
+                                    for cut in (False, True)))
+
+    def passed_on(self, seed, cut):
+        """All is lent to one who uses it; then another wants it, and the first wants less, or is cut off."""
+        play = Play(seed, homes=1, others=2, tokens=TOKENS)
+        play.processes["b0"].calls = 60
+        play.run(16 * SECOND)
+        if cut:
+            play.cut = {("b0", "h0"), ("h0", "b0")}
+        else:
+            play.processes["b0"].calls = 1
+        play.processes["b1"].calls = 60
+        play.run(play.now + 12 * SECOND)
+        return play.worst_below
+
     def test_guards(self):
         """Without one of these the sum goes above what there is on some of these plays."""
-        def counted_late(self, now, grant):
-            back = hear(self, now, grant)
+        def counted_late(self, now, grant, used=0):
+            back = hear(self, now, grant, used)
             if back is not None:
                 self.held[grant.home] = self.held[grant.home]._replace(until=now + shares.LOAN)
             return back
--- a/tests/together/test_signals.py
+++ b/tests/together/test_signals.py
@@ -78,24 +78,24 @@
     def test_slow_or_full(self):
         """Alone slow: its sheds go elsewhere and it takes itself back after a while. All full: they do not,
         and it stays. Nothing known: as without the others."""
-        judged = Judgement(0, lambda: 0.5)
-        self.assertIsNone(judged.elsewhere())
-        judged.weigh(0, 2.5, [WELL] * 10)
-        self.assertEqual((judged.elsewhere(), judged.back), (True, False))
-        judged.weigh(LASTS, 2.5, [WELL] * 10)
+        judged, slow = Judgement(lambda: 0.5), WELL._replace(pace=2.5)
+        self.assertEqual((judged.full(True), judged.full(False)), (True, False))
+        self.assertEqual(judged.stay(1000), 1000)
+        judged.weigh(0, slow, [WELL] * 10)
+        self.assertEqual((judged.full(True), judged.back), (False, False))
+        judged.weigh(LASTS, slow, [WELL] * 10)
         self.assertTrue(judged.back)
-        judged.weigh(LASTS + 1, 1.0, [WELL] * 10)
-        judged.weigh(2 * LASTS + 1, 1.0, [WELL] * 10)
+        judged.weigh(LASTS + 1, WELL, [WELL] * 10)
+        judged.weigh(2 * LASTS + 1, WELL, [WELL] * 10)
         self.assertFalse(judged.back)
-        slow = [FULL._replace(pace=2.4)] * 10
         for now in (0, LASTS, 3 * LASTS):
-            judged.weigh(now, 2.5, slow)
-        self.assertEqual((judged.elsewhere(), judged.back), (False, False))
+            judged.weigh(now, slow, [FULL._replace(pace=2.4)] * 10)
+        self.assertEqual((judged.full(False), judged.back), (True, False))
 
     def test_few_take_themselves_back(self):
         """A third of the fleet turns slow together: no more than a tenth and one a look of it goes, the rest
         serves on. A liar alone never gets anybody to go."""
-        judges = [Judgement(0, lambda: 0.5) for _ in range(30)]
+        judges = [Judgement(lambda: 0.5) for _ in range(30)]
         paces = [3.0 if i < 10 else 1.0 for i in range(30)]
         for look in range(40):
             now = look * 500_000 + 1
@@ -103,25 +103,26 @@
                         for i, one in enumerate(judges)]
             for i, one in enumerate(judges):          # in turn, each hears what those before it did
                 readings[i] = Reading(0.3, 0.0, paces[i], Stage.BACK if one.back else Stage.WARM)
-                one.weigh(now, paces[i], readings)
+                one.weigh(now, readings[i], readings)
                 readings[i] = Reading(0.3, 0.0, paces[i], Stage.BACK if one.back else Stage.WARM)
         back = [one.back for one in judges]
         self.assertLessEqual(sum(back), 4)
         self.assertFalse(any(back[10:]))
-        liar = Judgement(0, lambda: 0.5)
+        beside_liar = Judgement(lambda: 0.5)
         for now in range(0, 10 * LASTS, LASTS // 3):
-            liar.weigh(now, 1.0, [WELL] * 8 + [Reading(1.0, 0.0, 0.0, Stage.WARM)])
-        self.assertFalse(liar.back)
+            beside_liar.weigh(now, WELL, [WELL] * 8 + [Reading(1.0, 0.0, 0.0, Stage.WARM)])
+        self.assertFalse(beside_liar.back)
 
     def test_advice_spreads(self):
         """Those who heed it come back spread over its whole length, later where the others have more room."""
-        judged = Judgement(0, random.Random(3).random)
-        judged.weigh(0, 1.0, [WELL] * 10)
-        told = [judged.advice(100_000, 0.0) for _ in range(4000)]
+        judged = Judgement(random.Random(3).random)
+        judged.weigh(0, WELL._replace(room=0.0), [WELL] * 10)
+        told = [judged.stay(100_000) for _ in range(4000)]
         tenths = Counter((x - 80_000) * 10 // 160_001 for x in told)
         self.assertLess(max(tenths.values()), 2 * min(tenths.values()))
         self.assertGreater(min(told), 79_000)
-        level = [judged.advice(100_000, 0.9) for _ in range(1000)]
+        judged.weigh(0, WELL._replace(room=0.9), [WELL] * 10)
+        level = [judged.stay(100_000) for _ in range(1000)]
         self.assertLess(sum(level) / 1000, sum(told) / 4000)
 
 
