Subsets of back ends by the fleet's view, and turns to try one that was set aside

Change: backends.subset and backend.zone in the operator's file; a part of the fleet's feature follows what the view chooses, one move a second after 5 s of quiet, and lets the next in order help out where half of a subset is ill. One that knows of nobody takes its place by its own name's hash. Trials of a back end that was set aside go round among the members, a twentieth of them at a time; with nobody else ready there is no waiting for a turn.

--- a/gullyoke/features/back_ends.py
+++ b/gullyoke/features/back_ends.py
@@ -22,6 +22,7 @@
         super().__init__(wanted)
         self.path, self.wanted, self.sockets = path, wanted, 0
         self.backends: Backends | None = None
+        self.only: frozenset[str] | None = None       # of those stated, the subset in use; None: all
 
     def held(self) -> int:
         return self.wanted.most()
@@ -48,8 +49,16 @@
                             f"right would be {self.sockets // 2} at most, half of limits.sockets")
 
     def state(self, wanted: Pooled) -> None:
-        self.backends.state([At(b.name, b.address) for b in wanted.back_ends],
-                            [Stated(b.name, b.weight, b.least, b.most) for b in wanted.back_ends])
+        used = [b for b in wanted.back_ends if self.only is None or b.name in self.only]
+        self.backends.state([At(b.name, b.address) for b in used],
+                            [Stated(b.name, b.weight, b.least, b.most) for b in used])
+
+    def use(self, only: frozenset[str]) -> None:
+        """These of those stated are used from now on; none of them: all."""
+        only &= {b.name for b in self.wanted.back_ends}
+        if only and only != self.only:
+            self.only = only
+            self.state(self.wanted)
 
     def print(self) -> None:
         self.backends.print()
@@ -62,8 +71,10 @@
 
     def take(self, new: Wanted) -> dict[str, object]:
         if new.pool is not None:
-            self.state(new.pool)
             self.wanted = self.wanted._replace(back_ends=new.pool.back_ends)
+            if self.only is not None and not self.only & {b.name for b in self.wanted.back_ends}:
+                self.only = None                      # none of its subset is left: all, until the next look
+            self.state(self.wanted)
         return {"back_ends": len(self.wanted.back_ends)}
 
     def ignored(self, new: Wanted) -> list[str]:
--- a/gullyoke/features/file.py
+++ b/gullyoke/features/file.py
@@ -77,5 +77,5 @@
         units.append(Memory(wanted.kept))
     if wanted.fleet is not None:
         from gullyoke.features.fleet import Fleet
-        units.append(Fleet(path, wanted.fleet, wanted.kept))
+        units.append(Fleet(path, wanted.fleet, wanted.kept, wanted.pool))
     return units
--- a/gullyoke/features/fleet.py
+++ b/gullyoke/features/fleet.py
@@ -14,7 +14,7 @@
 from gullyoke.features.unit import Plain
 from gullyoke.members import Change, Member, Row, Status, began
 from gullyoke.members.row import identity
-from gullyoke.operator.wanted import Kept, Together, Wanted
+from gullyoke.operator.wanted import Kept, Pooled, Together, Wanted
 from gullyoke.options import Misstated
 from gullyoke.peers.ask import Answers
 from gullyoke.peers.kept import Number
@@ -29,7 +29,7 @@
 class Fleet(Plain):
     name = part = "fleet"
 
-    def __init__(self, path: str, wanted: Together, kept: Kept | None) -> None:
+    def __init__(self, path: str, wanted: Together, kept: Kept | None, pool: Pooled | None = None) -> None:
         super().__init__(wanted)
         self.path, self.wanted, self.kept = path, wanted, kept
         self.house: House | None = None
@@ -38,7 +38,7 @@
         self.number: Number | None = None
         self.told = self.size = 0
         self.read: tuple[bytes, ...] = ()             # the keys of a file that is about to be taken over
-        self.parts: list[Part] = made(wanted)
+        self.parts: list[Part] = made(wanted, pool)
 
     def held(self) -> int:
         return DESCRIPTORS
@@ -48,6 +48,8 @@
         self.house = house
         self.link = Link(self.wanted.listen, Seal(self.wanted.name, self.keys(self.wanted)), house.book)
         self.answers = Answers(self.wanted.status, self.link, house.book) if self.wanted.status else None
+        for part in self.parts:
+            part.join(self)
 
     def keys(self, wanted: Together) -> tuple[bytes, ...]:
         try:
@@ -155,7 +157,7 @@
                 and getattr(self.wanted, name) != getattr(new.fleet, name)]
 
 
-def made(wanted: Together) -> list[Part]:
+def made(wanted: Together, pool: Pooled | None) -> list[Part]:
     """The parts that the file asks for."""
     parts: list[Part] = []
     if wanted.signals:
@@ -164,4 +166,7 @@
     if wanted.shares is not None:
         from gullyoke.features.shares import Shares
         parts.append(Shares(wanted.shares))
+    if pool is not None:
+        from gullyoke.features.subsets import Subsets
+        parts.append(Subsets(pool.subset))
     return parts
--- a/gullyoke/features/shares.py
+++ b/gullyoke/features/shares.py
@@ -19,12 +19,14 @@
     def __init__(self, wanted: Slotted) -> None:
         self.wanted, self.shared, self.in_force = wanted, None, -1
 
-    def begin(self, fleet: Fleet) -> None:
+    def join(self, fleet: Fleet) -> None:
         """Raises `Misstated` where there is nothing below that could be shared."""
+        if not fleet.house.told.facts.below.exists:
+            raise Misstated(f"{fleet.path}: fleet.shares: no calls go below from here; right would be none")
+
+    def begin(self, fleet: Fleet) -> None:
         wanted, told, member = self.wanted, fleet.house.told, fleet.member
         below = told.facts.below
-        if not below.exists:
-            raise Misstated(f"{fleet.path}: fleet.shares: no calls go below from here; right would be none")
         floor, tokens = split(wanted.slots, wanted.largest, len(wanted.homes), wanted.floor_share)
         home = told.name if told.name in wanted.homes else None
         votes = home is not None and wanted.homes[home] == fleet.wanted.advertise
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -65,6 +65,8 @@
         names.add(home.name)
     if homes and len(homes) % 2 == 0:
         yield "fleet.shares.home", f"{len(homes)} of them; right would be an odd number"
+    if found.backends.subset and not found.HasField("fleet"):
+        yield "backends.subset", "there is no fleet to choose by; right would be fleet { ... } as well"
     eject = found.backends.ejection
     first = eject.first_out_ms or 1000
     if eject.HasField("longest_out_ms") and eject.longest_out_ms < first:
@@ -111,12 +113,13 @@
         said(eject, "consecutive", 5), said(eject, "over_peers", 0.3), said(eject, "pool_share", 0.5),
         first_out, max(first_out, said(eject, "longest_out_ms", 30_000) * 1000),
         said(eject, "slow_start_ms", 5000) * 1000)
-    back_ends = tuple(BackEnd(b.address, address(b.address), said(b, "weight", 1.0), *bounds_of(b))
+    back_ends = tuple(BackEnd(b.address, address(b.address), said(b, "weight", 1.0), *bounds_of(b),
+                              b.zone or "-")
                       for b in told.backend)
     return Wanted(json_log, ways, Pooled(
         back_ends, said(told, "linger_ms", 2000) * 1000, told.stops_on_close,
         said(told, "answer_kb", 64) * 1024, said(told, "first_limit", 8), said(told, "retry_share", 0.1),
-        said(told, "retry_burst", 10.0), ejecting), classed, kept, fleet)
+        said(told, "retry_burst", 10.0), ejecting, told.subset), classed, kept, fleet)
 
 
 def together(found: schema.Fleet) -> Together:
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -28,6 +28,7 @@
     weight: float
     least: int
     most: int
+    zone: str = "-"
 
 
 class Ejecting(NamedTuple):
@@ -50,6 +51,7 @@
     retry_share: float
     retry_burst: float
     ejecting: Ejecting
+    subset: int = 0
 
     def most(self) -> int:
         """How many connections all back ends may take."""
--- a/gullyoke/routing/__init__.py
+++ b/gullyoke/routing/__init__.py
@@ -6,11 +6,11 @@
 from gullyoke.routing.budget import Budget
 from gullyoke.routing.dispatch import Dispatch, Run, Send, Tell
 from gullyoke.routing.fates import Fate, fate_of
-from gullyoke.routing.health import Health, Standing
+from gullyoke.routing.health import SET_ASIDE, Health, Standing
 from gullyoke.routing.limit import Limit
 from gullyoke.routing.line import Line
 from gullyoke.routing.member import Member, Stated
 from gullyoke.routing.pool import Pool
 
-__all__ = ["Budget", "Dispatch", "Fate", "Health", "Limit", "Line", "Member", "Pool", "Run", "Send",
-           "Standing", "Stated", "Tell", "fate_of"]
+__all__ = ["SET_ASIDE", "Budget", "Dispatch", "Fate", "Health", "Limit", "Line", "Member", "Pool", "Run",
+           "Send", "Standing", "Stated", "Tell", "fate_of"]
--- a/gullyoke/routing/pool.py
+++ b/gullyoke/routing/pool.py
@@ -17,6 +17,7 @@
     herd that all go to the one that looked best last (Mitzenmacher 2001). `out_share` is the largest share
     of the pool that may be ejected at once; one that refuses connections is away, not ejected, and counts
     in it only while others are left. `health` makes the state of a new member from a source of chance.
+    `may` says whether a trial of a member may be made now, where others take turns with this one.
     Table: `members`, one row a back end that is stated or still has runs."""
 
     def __init__(self, chance: random.Random, out_share: float = 0.5, first: int = 8, linger: int = 0,
@@ -24,6 +25,7 @@
         self.draw, self.pick_of = chance.random, chance.randrange
         self.out_share, self.first, self.linger, self.health = out_share, first, linger, health
         self.members: dict[str, Member] = {}
+        self.may: Callable[[str], bool] = lambda name: True
 
     # Membership.
 
@@ -71,7 +73,8 @@
         ready = [m for m in self.members.values() if m not in tried and m.takes(now)]
         if kind is Kind.REPLAYABLE and not tried or not ready:
             for member in self.members.values():
-                if member not in tried and member.health.trial_due(now) and not member.began:
+                if member not in tried and member.health.trial_due(now) and not member.began \
+                        and (not ready or self.may(member.stated.name)):
                     member.health.to(now, Standing.TRIAL)
                     return member
         if len(ready) < 2:
--- a/gullyoke/together/subsets.py
+++ b/gullyoke/together/subsets.py
@@ -14,6 +14,7 @@
 
 SETTLE = 5_000_000                     # microseconds for which a choice must stand before anything moves
 PACE = 1_000_000                       # between two moves: a change of view is no flood of connections
+LACKING = 1_000_000                    # and for which half of a subset must be ill before others help out
 
 
 def apertures(servers: Sequence[str], back_ends: Sequence[str], k: int) -> Chosen:
@@ -38,6 +39,14 @@
     return out
 
 
+def alone(server: str, back_ends: Sequence[str]) -> tuple[str, ...]:
+    """The order in which one that knows of no other takes the back ends: from a place of its own, so that
+    many who know of nobody do not all take the same."""
+    ring = sorted(back_ends, key=whole)
+    start = whole(server) % max(1, len(ring))
+    return tuple(ring[start:] + ring[:start])
+
+
 def moved(before: Chosen, after: Chosen) -> float:
     """The share of connections that are opened anew, at servers that are there both times."""
     kept = [server for server in before if server in after]
@@ -47,11 +56,16 @@
 
 class Subset:
     """One server's subset in force. It follows what is chosen once that has stood for SETTLE, one back end
-    each PACE; the place of one that is gone is kept for as long, so that one that flaps moves nothing."""
+    each PACE; the place of one that is gone is kept for as long, so that one that flaps moves nothing.
+
+    Where fewer than half of it are well, as seen from here, for LACKING, the next in order help out, one each
+    PACE, until half are; they go when its own are well again for SETTLE. Table: `held` and `help`, each at
+    most as many as are chosen and one."""
 
     def __init__(self, now: int, wanted: Sequence[str]) -> None:
-        self.held = list(wanted)
+        self.held, self.help = list(wanted), []
         self.wanted, self.since, self.moved_at = tuple(wanted), now, now - PACE
+        self.lacks, self.enough, self.helped_at = None, None, now - PACE
 
     def follow(self, now: int, wanted: Sequence[str]) -> tuple[str, ...]:
         """The subset from now on, where this is what is chosen by the view of now."""
@@ -66,8 +80,31 @@
                 self.held.append(missing[0])
             if surplus and len(self.held) > len(self.wanted):
                 self.held.remove(surplus[0])
+        self.help = [b for b in self.help if b not in self.held]
         return tuple(self.held)
 
+    def helped(self, now: int, order: Sequence[str], ill: Collection[str]) -> tuple[str, ...]:
+        """The subset with those who help out. `order`: all back ends, the next first; `ill`: those that are
+        set aside here."""
+        half = -(-len(self.held) // 2)
+        own = sum(b not in ill for b in self.held)
+        if own >= half:
+            self.lacks = None
+            self.enough = self.enough if self.enough is not None else now
+            if now - self.enough >= SETTLE:
+                self.help.clear()
+        else:
+            self.enough = None
+            self.lacks = self.lacks if self.lacks is not None else now
+            short = own + sum(b not in ill for b in self.help) < half
+            if short and now - self.lacks >= LACKING and now - self.helped_at >= PACE:
+                taken = {*self.held, *self.help, *ill}
+                more = next((b for b in order if b not in taken), None)
+                if more is not None:
+                    self.helped_at = now
+                    self.help = [b for b in self.help if b not in ill] + [more]
+        return (*self.held, *self.help)
+
     def usable(self, there: Collection[str]) -> tuple[str, ...]:
         """Those of it that are there: who is gone is not used from the moment it is known."""
         return tuple(b for b in self.held if b in there)
--- a/gullyoke/together/turns.py
+++ b/gullyoke/together/turns.py
@@ -11,6 +11,11 @@
 from gullyoke.members.row import whole
 
 
+def shared(what: str, count: int, slot: int, slots: int) -> Turns:
+    """Turns of so many members that come round within `slots` slots, an eighth of each a gap at both ends."""
+    return Turns(what, max(1, -(-count // slots)), slot, slot // 8)
+
+
 class Turns:
     """`slot` and `gap` in microseconds of the wall clock, which members hold alike within `gap`."""
 
--- a/gullyoke/work/backends.py
+++ b/gullyoke/work/backends.py
@@ -19,7 +19,7 @@
 from gullyoke.core.message import Answer
 from gullyoke.core.sockets import Broken, Until, connected, shut
 from gullyoke.port import Word
-from gullyoke.routing import Dispatch, Fate, Member, Run, Send, Standing, Stated, Tell, fate_of
+from gullyoke.routing import SET_ASIDE, Dispatch, Fate, Member, Run, Send, Standing, Stated, Tell, fate_of
 
 CONNECT = 1.0                          # seconds for a connection to come about, at most
 PROMISES = (429, 503)                  # statuses by which our callers know that a req never ran
@@ -76,6 +76,12 @@
             log.info("back ends stated", extra=pairs(came=",".join(came) or "-", leaving=",".join(go) or "-"))
         self.follow(moves)
 
+    def ill(self) -> set[str]:
+        """Those that are set aside."""
+        with self.lock:
+            return {name for name, m in self.dispatch.pool.members.items()
+                    if m.health.standing in SET_ASIDE}
+
     # Commands, given under the desk's lock.
 
     def run(self, req: Taken) -> None:
