--- a/gullyoke/features/shares.py
+++ b/gullyoke/features/shares.py
@@ -27,19 +27,20 @@
     def begin(self, fleet: Fleet) -> None:
         wanted, told, member = self.wanted, fleet.house.told, fleet.member
         below = told.facts.below
-        floor, tokens = split(wanted.slots, wanted.largest, len(wanted.homes), wanted.floor_share)
+        floor, tokens = split(wanted.slots, wanted.largest, wanted.homes, wanted.floor_share)
         home = told.name if told.name in wanted.homes else None
         votes = home is not None and wanted.homes[home] == fleet.wanted.advertise
-        sharing = Sharing(clock.now(), member.row.life, wanted.homes, tokens, floor, home, votes)
+        sharing = Sharing(clock.now(), member.row.life, wanted.homes, tokens.get(home, 0), floor, home,
+                          votes)
         sharing.borrower.weight = wanted.weight
         self.shared = SharedSlots(Own(clock.now(), sharing, below.linger), wanted.homes,
-                             stated(wanted.homes, tokens, floor), fleet.taken)
+                             stated(wanted.homes, wanted.slots, floor), fleet.taken)
         # Slots bound what is out at every moment: the mean over a span that is stated needs no bound beside.
         below.slots, below.share = self.shared, None
         fleet.link.topics[TOPIC] = self.shared
         fleet.link.told["shares"] = self.shared.told
         log.info("shares", extra=pairs(slots=wanted.slots, floor=floor, homes=len(wanted.homes),
-                                       tokens=tokens, home=home or "-", votes=votes))
+                                       lends=tokens.get(home, 0), home=home or "-", votes=votes))
 
     def look(self, now: int) -> None:
         told = self.shared.told(now)
--- a/gullyoke/peers/sharing.py
+++ b/gullyoke/peers/sharing.py
@@ -24,9 +24,9 @@
 decode = msgspec.msgpack.Decoder(tuple[int, int, list]).decode
 
 
-def stated(homes: Mapping[str, str], tokens: int, floor: int) -> int:
+def stated(homes: Mapping[str, str], slots: int, floor: int) -> int:
     """The digest of what has to be stated alike."""
-    return whole(" ".join([*(f"{name}@{at}" for name, at in sorted(homes.items())), str(tokens), str(floor)]))
+    return whole(" ".join([*(f"{name}@{at}" for name, at in sorted(homes.items())), str(slots), str(floor)]))
 
 
 def pack(digest: int, message: Message) -> bytes:
--- /dev/null
+++ b/gullyoke/rig/standins.py
@@ -0,0 +1,100 @@
+"""What the members of a play share below: a dependency that counts what it has in hand, and SCGI back ends
+that count their runs. They speak their published protocols on loopback; what is counted is what crossed the
+sockets."""
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import threading
+import time
+from collections import Counter
+
+from gullyoke.codec import scgi
+from gullyoke.codec.buffer import Buffer
+from gullyoke.core.ends import Ended
+from gullyoke.core.message import Answer, Unfit
+from gullyoke.core.sockets import Receiver
+from gullyoke.lab.ports import free
+from gullyoke.lab.world import Peer
+
+LINGER = 0.15                          # seconds for which a call given up stays in hand
+
+
+class Below(Peer):
+    """A dependency: each call takes `span` seconds, its stated time at the most. `most` is the most it had in
+    hand at once; `asked`, calls so far; a call given up stays in hand for LINGER."""
+
+    def __init__(self, span: float) -> None:
+        self.span, self.dead, self.pen = span, False, threading.Lock()
+        self.hand = self.most = self.asked = 0
+        self.times: list[float] = []                  # when each call came while it was dead
+        super().__init__()
+
+    def message(self, link: socket.socket, file, words: list[str]) -> None:
+        if words[0] != "Q":
+            return
+        file.read(int(words[-1]) + 2)
+        with self.pen:
+            self.asked += 1
+            if self.dead:
+                self.times.append(time.monotonic())
+        if self.dead:
+            link.sendall(f"{words[1]} FAIL\r\n".encode())
+            return
+        with self.pen:
+            self.hand += 1
+            self.most = max(self.most, self.hand)
+        try:
+            # Readable while its call is out: the caller has given up, for it sends nothing else.
+            gone = bool(select.select([link], [], [], min(self.span, int(words[2]) / 1000))[0])
+            if gone:
+                time.sleep(LINGER)
+        finally:
+            with self.pen:
+                self.hand -= 1
+        if not gone:
+            word = "ROWS 3\r\nrow" if self.span <= int(words[2]) / 1000 else "TIMEOUT"
+            link.sendall(f"{words[1]} {word}\r\n".encode())
+
+
+class BackEnd:
+    """An application server that speaks SCGI at an address of its own; each run takes `span` seconds."""
+
+    def __init__(self, name: str, span: float) -> None:
+        self.name, self.span, self.address = name, span, free()
+        self.pen, self.begun = threading.Lock(), Counter()
+        self.listener: socket.socket | None = None
+        self.well()
+
+    def well(self) -> None:
+        if self.listener is None:
+            self.listener = socket.create_server(self.address, backlog=256)
+            threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def lame(self) -> None:
+        """It refuses from now on; what it has it ends."""
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            with contextlib.suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def accept(self, listener: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = listener.accept()
+                threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
+
+    def serve(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError, Ended, Unfit), conn:
+            message = scgi.read(Buffer(Receiver(conn), scgi.BUFFER))
+            if message is None:
+                return
+            with self.pen:
+                self.begun[message.fields.get("trace-id", "")] += 1
+            time.sleep(self.span)
+            conn.sendall(scgi.answer(Answer(200, b"done")))
+
+    def close(self) -> None:
+        self.lame()
--- a/gullyoke/together/fair.py
+++ b/gullyoke/together/fair.py
@@ -2,7 +2,7 @@
 than its part shares what the others leave (max-min fairness, Bertsekas and Gallager 1992)."""
 from __future__ import annotations
 
-from collections.abc import Hashable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
 
 
 def parts(total: int, wants: Mapping[Hashable, int],
@@ -31,11 +31,11 @@
     return given
 
 
-def split(limit: int, largest: int, homes: int, floor_share: float) -> tuple[int, int]:
+def split(limit: int, largest: int, homes: Iterable[str], floor_share: float) -> tuple[int, dict[str, int]]:
     """A limit for the whole fleet as a floor that each of `largest` processes has by right, and what each of
-    `homes` has to lend: all together never more than the limit. Raises `ValueError` where nothing is left."""
-    floor = int(limit * floor_share / largest)
-    lend = (limit - floor * largest) // max(1, homes)
+    `homes` has to lend: all together the limit. Raises `ValueError` for what can't be."""
     if limit < 0 or largest < 1 or not 0 <= floor_share <= 1:
         raise ValueError(f"a limit of {limit} for {largest} with a floor of {floor_share}")
-    return floor, lend
+    floor, names = int(limit * floor_share / largest), sorted(homes)
+    part, more = divmod(limit - floor * largest, max(1, len(names)))
+    return floor, {name: part + (i < more) for i, name in enumerate(names)}
