--- a/gullyoke/rig/script.py
+++ b/gullyoke/rig/script.py
@@ -111,7 +111,7 @@
         elif first == "end" and len(words) == 2:
             end = figure(words[1], number)
         else:
-            wrong(number, repr(first), "members, zones and the like, at, by, never or end")
+            wrong(number, repr(first), "members, at, by, never or end")
     last = max([step.at for step in steps["at"] + steps["by"]], default=0.0)
     script = Script(int(head["members"]), int(head["zones"]), int(head["seed"]), head["load"],
                     int(head["up"]), int(head["slots"]), head["call_ms"], int(head["backends"]),
