--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -239,7 +239,7 @@
 
     def __init__(self, now: int, share: float | None, span: int, linger: int, slots) -> None:
         self.share, self.span, self.linger, self.slots = share, span, linger, slots
-        self.budget = math.inf if share is None else 0.95 * share * span
+        self.budget = math.inf if share is None else 0.95 * share * span    # anew at each wake-up
         self.line, self.spent, self.used, self.booked = [], deque(), 0, 0
         self.window, self.out, self.most = math.inf, 0, 0    # at once: allowed, now, most lately
         self.usual, self.lately, self.hush, self.told, self.well, self.spoilt = 0.0, 0.0, now, now, 0, False
@@ -252,10 +252,11 @@
 
     def try_for(self, req, now: int) -> int:
         """The patience with a call: a few usual ones (ours), or a quarter of what is left if more."""
-        if self.share is None:                    # no bound is stated, and no span: slots at the most
-            return max(1, min(req.due, self.slots.until(now) - self.linger) - now)
-        most = min(max(4 * self.lately, self.left(now) / 4), 2 * self.span // 5, self.budget - self.linger)
-        return max(1, int(min(req.due - now, most)))
+        most = min(req.due, self.slots.until(now) - self.linger) - now
+        if self.share is not None:                # a bound is stated, and its span
+            most = min(most, max(4 * self.lately, self.left(now) / 4), 2 * self.span // 5,
+                       self.budget - self.linger)
+        return max(1, int(most))
 
     def room(self, req, now: int) -> bool:
         """Whether one more stays within our share, however long it takes."""
@@ -267,8 +268,10 @@
         self.slots.began()
         self.most = max(self.most, self.out)
 
-    def adjust(self) -> None:
+    def adjust(self, now: int) -> None:
         """Fewer calls at once while they take far longer than usual (ours): one that is crowded does less."""
+        self.share = self.slots.share(now, self.share, self.used + self.booked)
+        self.budget = math.inf if self.share is None else 0.95 * self.share * self.span
         most, self.most = min(self.window, self.most or self.window), self.out
         self.window = max(1.0, 0.9 * most) if self.lately > 8 * self.usual else self.window * 1.125 + 1
 
@@ -277,8 +280,7 @@
         Guards against a reply that is spoilt or never comes silencing all calls, as trouble below does."""
         self.booked -= patience + self.linger
         self.told, self.out = now, self.out - 1
-        lost = word not in (Word.CALL_OK, Word.CALL_UNRUN)
-        self.slots.ended(now, lost)
+        self.slots.ended(now, lost := word not in (Word.CALL_OK, Word.CALL_UNRUN))
         alone = lost and (self.well > now - took or word is Word.CALL_SPOILT and not self.spoilt)
         self.spoilt = word is Word.CALL_SPOILT
         spent = took + (self.linger if lost else 0)
@@ -310,8 +312,7 @@
                 if r.handler.skip_share and now + self.lately + r.handler.target / 8 > aim(r)]
 
     def pick(self):
-        slow = self.lately > 2 * self.usual
-        return max(self.line, key=lambda r: r.handler.value) if slow else self.line[0]
+        return max(self.line, key=lambda r: r.handler.value) if self.lately > 2 * self.usual else self.line[0]
 
 
 class Guards:
@@ -394,8 +395,7 @@
         self.now, self.door, self.stage = now, door, Stage(door)    # of `chance` nothing is drawn so far
         self.machine, self.fleet = machine, fleet
         self.guards, self.advice = Guards(now, machine, limits), Advice(door, permits, fleet.beside)
-        self.below = CallsBelow(now, below.share if below.exists else None, below.span, below.linger,
-                                below.slots)
+        self.below = CallsBelow(now, below.share, below.span, below.linger, below.slots)
         self.hold, self.cap = Hold(handlers, fleet.by_work, self.below), RunningCap(machine.cores)
         self.open: dict = {}                                 # reqs in hand; each leaves at its end
         self.on = self.off = self.last_read = self.unread = 0
@@ -439,7 +439,7 @@
             if now // TICK % 100 == 0:
                 self.door.log(self.learner.story())
         self.guards.expire(now)
-        self.below.adjust()
+        self.below.adjust(now)
         self.cap.adjust(gauges, self.hold.size, min(room, self.guards.crowd(now)))
         self.advice.stamp(self.guards.speed(now))
         self.advice.connections(gauges.links, self.fleet.callers)
--- /dev/null
+++ b/gullyoke/emulator/beside.py
@@ -0,0 +1,133 @@
+"""Servers of the model that tell each other how they stand and share the dependency's slots: the same
+modules as on sockets, with delay, loss and cuts between them. All figures from here are simulated."""
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from gullyoke.choice import Server
+from gullyoke.emulator.fleet import Node, Running, deciding
+from gullyoke.port import Below, Fleet
+from gullyoke.together.fair import split
+from gullyoke.together.sharing import ASKER, Letter, Sharing
+from gullyoke.together.signals import Heard, Judgement, Reading, Stage, Telling
+from gullyoke.together.slots import UNIT, Mean
+
+SECOND, TURN = 1_000_000, 100_000
+PEERS, HOMES, FLOOR = 16, 5, 0.25      # who hears a signal; who lends; the part that is one's own by right
+
+Cut = Callable[[int, int, int], bool]  # whether what one sends another at a time is lost
+
+
+class Peer:
+    """What one node has of the others."""
+
+    def __init__(self, beside: Beside, node: Node, below: Below, fleet: Fleet) -> None:
+        self.beside, self.node, self.count = beside, node, 0
+        chance = beside.chance
+        self.telling, self.heard = Telling(), Heard()
+        self.judgement = Judgement(random.Random(chance.getrandbits(40)).random)
+        self.own: Mean | None = None
+        if beside.signals:
+            fleet.beside = self.judgement
+        day, now = node.fleet.day, node.fleet.now()
+        if beside.shares and day.shared and day.shared.survives:
+            homes = [str(i) for i in range(min(HOMES, day.machines.servers))]
+            largest = beside.largest or day.machines.servers + sum(n for _, n in day.machines.join)
+            floor, tokens = split(day.shared.survives * UNIT, largest, homes, FLOOR)
+            home = str(node.number) if str(node.number) in homes else None
+            part = Sharing(now, chance.getrandbits(40), homes, tokens.get(home, 0), floor, home,
+                           home is not None, below.linger, below.span)
+            self.own = below.slots = Mean(part, below.linger, below.span)
+        # Those who were there at the start know each other, as after a while of running.
+        node.fleet.at(chance.randrange(TURN), self.turn)
+        node.fleet.at(chance.randrange(SECOND), self.look)
+
+    def look(self) -> None:
+        """Once a second: how this one stands, told to some, and what the others told."""
+        node, now = self.node, self.node.fleet.now()
+        if not node.up or now > node.fleet.last:
+            return
+        node.fleet.at(SECOND, self.look)
+        server = node.server
+        if not isinstance(server, Server) or server.learner is None:
+            return
+        cold = server.guards.speed(now) < 1
+        stage = Stage.DRAINING if server.guards.notice is not None else Stage.COLD if cold else Stage.WARM
+        reading = Reading.of(server, stage)
+        judged, was = self.judgement, self.judgement.back
+        judged.weigh(now, reading, self.heard.young(now))
+        if judged.back and stage is Stage.WARM:
+            reading = reading._replace(stage=Stage.BACK)
+        if judged.back != was and self.beside.signals and server.guards.notice is None:
+            node.good = not judged.back
+        self.count += 1
+        word = self.beside.lie(node.number, self.telling.word(reading))
+        for other in self.beside.neighbours(node.number):
+            self.beside.send(node.number, other, lambda peer: peer.hear_word(node.number, self.count, word))
+
+    def hear_word(self, sender: int, count: int, word: int) -> None:
+        self.heard.hear(self.node.fleet.now(), sender, count, word)
+
+    def turn(self) -> None:
+        now = self.node.fleet.now()
+        if self.own is None or not self.node.up or now > self.node.fleet.last:
+            return
+        self.node.fleet.at(TURN, self.turn)
+        for letter in self.own.turn(now):
+            self.post(letter, -1)
+
+    def post(self, letter: Letter, asker: int) -> None:
+        to, me = asker if letter.to == ASKER else int(letter.home), self.node.number
+        self.beside.send(me, to, lambda peer: peer.hear_letter(me, letter.message))
+
+    def hear_letter(self, sender: int, message) -> None:
+        if self.own is not None:
+            answer = self.own.hear(self.node.fleet.now(), message)
+            if answer is not None:
+                self.post(answer, sender)
+
+
+class Beside:
+    """An arm: which parts are on. `loss` of what they send, `cut` as a function of time and two numbers,
+    `liar` the number of one that says it has all room there is. `largest`: the largest fleet stated for
+    shares. `frozen`: from when on all signals stay as they were."""
+
+    def __init__(self, seed: int, signals: bool = True, shares: bool = True, loss: float = 0.0,
+                 cut: Cut | None = None, liar: int = -1, largest: int = 0, frozen: int = 0) -> None:
+        self.chance = random.Random(seed ^ 0xBE51DE)
+        self.signals, self.shares, self.loss, self.cut, self.liar = signals, shares, loss, cut, liar
+        self.largest, self.frozen = largest, frozen
+        self.peers: dict[int, Peer] = {}
+        self.words: dict[int, int] = {}
+
+    def __call__(self, node: Node, below: Below, fleet: Fleet) -> None:
+        self.peers[node.number] = Peer(self, node, below, fleet)
+
+    def neighbours(self, number: int) -> list[int]:
+        """Whom one tells: the same few for a while, as members observe each other."""
+        there = [n for n, peer in self.peers.items() if peer.node.up and n != number]
+        chance = random.Random(number * 7919 + len(there))
+        return chance.sample(there, min(PEERS, len(there)))
+
+    def lie(self, number: int, word: int) -> int:
+        if number == self.liar:
+            return Reading(1.0, 0.0, 0.0, Stage.WARM).pack()
+        now = self.peers[number].node.fleet.now()
+        if self.frozen and now >= self.frozen:        # all reporters are stuck at what they said then
+            return self.words.setdefault(number, word)
+        return word
+
+    def send(self, from_: int, to: int, act: Callable[[Peer], None]) -> None:
+        there = self.peers.get(to)
+        if there is None or not there.node.up:
+            return
+        fleet = there.node.fleet
+        if self.chance.random() < self.loss or self.cut and self.cut(fleet.now(), from_, to):
+            return
+        fleet.at(self.chance.randrange(200, 2_000), lambda: there.node.up and act(there))
+
+
+def playing(day, beside: Beside | None) -> Running:
+    """A day on the module's decisions, with the others' word or without."""
+    return Running(day, deciding(False, beside=beside) if beside else deciding(False))
--- a/gullyoke/emulator/bound.py
+++ b/gullyoke/emulator/bound.py
@@ -27,14 +27,15 @@
 
 
 def room(day: Day, slot: int, count: int) -> np.ndarray:
-    """The work that all cores do in each slot, by the speeds of the day."""
+    """The work that all cores do in each slot, by the speeds of the day; servers that leave count on, which
+    only raises the bound."""
     m, out = day.machines, np.zeros(count)
     changes = [(0, 1.0), *sorted(m.speeds)]
     for at in range(count):
         lo, hi = at * slot, (at + 1) * slot
         for (time, speed), (until, _) in zip(changes, [*changes[1:], (10**18, 0.0)], strict=True):
             out[at] += speed * max(0, min(hi, until) - max(lo, time))
-    return out * m.servers * m.cores
+    return out * m.servers * m.cores * (1 - m.slow / 2)
 
 
 def bound(day: Day, slot: int = 500_000, sizes: bool = True) -> Bound:
--- a/gullyoke/emulator/fleet.py
+++ b/gullyoke/emulator/fleet.py
@@ -30,7 +30,8 @@
     Word,
 )
 
-TICK = 100_000
+TICK, MEAN = 100_000, 5_000_000
+LEARN, STOP = 2_000_000, 4_000_000     # from the notice to leave: when callers know, and when it is over
 LIMITS, RESERVE = "limits", "reserve"  # pools with one part only, to see what each does
 COLD, WARM = 0.25, 10_000_000          # a fresh server's speed, and how long until it is warm
 
@@ -43,27 +44,46 @@
 
 
 class Dependency:
-    """Slots; what finds none waits, first in first out, and each takes longer the more wait."""
+    """Slots; what finds none waits, first in first out, and each takes longer the more wait. It is `down`
+    once it has had more in hand than it survives, in the mean of MEAN."""
 
     def __init__(self, shared: Shared, now: Callable[[], int], at) -> None:
         self.shared, self.now, self.at, self.busy, self.most = shared, now, at, 0, 0
         self.line: deque[Callable[[], None]] = deque()
-
-    def call(self, done: Callable[[], None]) -> None:
+        self.down, self.mean, self.seen = False, 0.0, 0
+        self.calls = self.failed = 0
+
+    def call(self, done: Callable[[bool], None]) -> None:
+        self.calls += 1
+        self._weigh()
+        if self.down:
+            self.failed += 1
+            self.at(1000, lambda: done(False))
+            return
         self.line.append(done)
         self.most = max(self.most, self.busy + len(self.line))
         self._next()
 
+    def _weigh(self) -> None:
+        now = self.now()
+        part = min(1.0, (now - self.seen) / MEAN)
+        self.mean += (self.busy + len(self.line) - self.mean) * part
+        self.seen = now
+        self.down |= 0 < self.shared.survives < self.mean
+
     def _next(self) -> None:
         while self.line and self.busy < self.shared.slots:
             done = self.line.popleft()
             self.busy += 1
-            crowd = 1 + 0.2 * len(self.line) / self.shared.slots
+            crowd, slower = 1 + 0.2 * len(self.line) / self.shared.slots, self.shared.slower
+            if slower and slower[0] <= self.now() < slower[1]:
+                crowd *= slower[2]
             self.at(int(self.shared.span * crowd), lambda done=done: self._ended(done))
 
-    def _ended(self, done: Callable[[], None]) -> None:
+    def _ended(self, done: Callable[[bool], None]) -> None:
+        self._weigh()
         self.busy -= 1
-        done()
+        done(True)
         self._next()
 
 
@@ -82,16 +102,49 @@
         self.unread: deque[Asked] = deque()
         self.reading, self.kb, self.worst_kb, self.worst_crowd = 0, 0.0, 0.0, 0.0
         self.busy, self.window, self.seen = 0.0, deque(maxlen=20), (0.0, 0.0)
+        self.pace = 0.5 if number % 100 < m.slow * 100 else 1.0
+        self.links: dict[int, int] = {}               # connections by caller, and when each was last used
+        self.keeps, self.listed, self.up, self.good = day.callers.idle, True, True, True
+        self.fresh = m.fresh or fleet.now() > 0
         self.server = None
         self.server = make(self)
-        if m.fresh:
+        self.done = 0
+        if self.fresh:
             self.warm(0)
+        else:
+            self.cores.set_speed(self.pace)
 
     def warm(self, so_far: int) -> None:
-        self.cores.set_speed(min(1.0, COLD + (1 - COLD) * so_far / WARM) * self.fleet.speed)
-        if so_far < WARM:
+        self.cores.set_speed(min(1.0, COLD + (1 - COLD) * so_far / WARM) * self.fleet.speed * self.pace)
+        if so_far < WARM and self.up:
             self.fleet.at(TICK, lambda: self.warm(so_far + TICK))
 
+    def leave(self) -> None:
+        """Its notice; callers learn of it later, and then it is over."""
+        now = self.fleet.now()
+        self.server.leave(now, now + STOP)
+        self.server.settle(now)
+        self.fleet.at(LEARN, lambda: setattr(self, "listed", False))
+        self.fleet.at(STOP, lambda: setattr(self, "up", False))
+
+    # Connections.
+
+    def connected(self, caller: int) -> bool:
+        """Whether it has one with this caller now; a new one costs work, and a full table takes none."""
+        m, now = self.fleet.day.machines, self.fleet.now()
+        if not m.links or now - self.links.get(caller, -10**12) < self.keeps:
+            self.links[caller] = now
+            return True
+        self.links.pop(caller, None)
+        if len(self.links) >= m.links:
+            self.links = {c: at for c, at in self.links.items() if now - at < self.keeps}
+        if len(self.links) >= m.links:
+            return False
+        self.links[caller] = now
+        self.fleet.handshakes += 1
+        self.cores.add(m.handshake, lambda: None)
+        return True
+
     # Arrival and reading: one a core at a time.
 
     def arrive(self, req: Asked) -> None:
@@ -146,6 +199,7 @@
         req.left = 0
         if not req.answered_at:
             self.fleet.told(req, self, "done")
+            self.done += 1
         self.tell(req, Word.DONE)
 
     def _call(self, req: Asked, try_for: int) -> None:
@@ -160,7 +214,7 @@
                 self.cores.add(req.left, lambda: self._ran(req, req.left))
             self.tell(req, word)
 
-        self.fleet.below.call(lambda: end(Word.CALL_OK))
+        self.fleet.below.call(lambda well: end(Word.CALL_OK if well else Word.CALL_LOST))
         self.fleet.at(try_for, lambda: end(Word.CALL_LOST))
 
     def tell(self, req: Asked, word: Word) -> None:
@@ -181,14 +235,18 @@
             self.worst_crowd = max(self.worst_crowd, mean / self.fleet.day.machines.tip_multiple)
         if self.fleet.now() > self.fleet.last:
             return
-        self.server.gauges(self.fleet.now(), Gauges(min(1.0, self.busy), float(len(self.cores)), None))
+        links = float(len(self.links)) if self.fleet.day.machines.links else None
+        self.server.gauges(self.fleet.now(), Gauges(min(1.0, self.busy), float(len(self.cores)), links))
         self.server.settle(self.fleet.now())
 
-    def health(self, good: bool, cheap: bool) -> None: ...
+    def health(self, good: bool, cheap: bool) -> None:
+        self.good = good
 
     def stamp(self, level: float) -> None: ...
 
-    def idle(self, span: int) -> None: ...
+    def idle(self, span: int) -> None:
+        """Idle connections are closed here after so long."""
+        self.keeps = min(span, self.fleet.day.callers.idle)
 
     def log(self, text: str) -> None: ...
 
@@ -208,13 +266,18 @@
         self.handlers = [w.handler() for w in day.works]
         self.answers: list[Told | None] = [None] * len(day.arrivals)
         self.away: dict[tuple[int, int], int] = {}    # until when a caller stays away from a server
-        self.heeds = self.chance.random(16) < day.callers.heed
-        self.sent = self.overdue = 0
-        self.nodes: list[Node] = []
+        self.heeds = self.chance.random(day.callers.count) < day.callers.heed
+        self.sent = self.overdue = self.handshakes = self.unlinked = 0
+        self.make, self.nodes = make, []
+        self.moves: dict[tuple[int, int], int] = {}   # tries by second and server, to see herds
         for number in range(day.machines.servers):
             self.nodes.append(Node(number, self, make))
         for time, speed in day.machines.speeds:
             self.at(time, lambda speed=speed: self.set_speed(speed))
+        for time, share in day.machines.leave:
+            self.at(time, lambda share=share: self.shrink(share))
+        for time, count in day.machines.join:
+            self.at(time, lambda count=count: self.grow(count))
         self.feed(0)
 
     def now(self) -> int:
@@ -226,7 +289,16 @@
     def set_speed(self, speed: float) -> None:
         self.speed = speed
         for node in self.nodes:
-            node.cores.set_speed(speed)
+            node.cores.set_speed(speed * node.pace)
+
+    def shrink(self, share: float) -> None:
+        there = [n for n in self.nodes if n.up and n.listed]
+        for i in self.chance.permutation(len(there))[:int(share * len(there))]:
+            there[i].leave()
+
+    def grow(self, count: int) -> None:
+        for _ in range(count):
+            self.nodes.append(Node(len(self.nodes), self, self.make))
 
     def feed(self, i: int) -> None:
         """Arrivals one after another, so that the model's heap stays small."""
@@ -237,9 +309,15 @@
     def arrive(self, i: int, tries: int, avoid: int = -1) -> None:
         time, kind, work, caller = self.day.arrivals[i]
         handler, now = self.handlers[kind], self.now()
-        left = [n for n in self.nodes if self.away.get((caller, n.number), 0) <= now and n.number != avoid]
-        left = left or [n for n in self.nodes if n.number != avoid] or self.nodes
-        node = left[int(self.chance.integers(len(left)))]
+        node = self.chosen(caller, now, avoid)
+        if not node.connected(caller):
+            self.unlinked += 1
+            if tries <= self.day.callers.tries and now + self.day.callers.pause < time + handler.timeout:
+                self.at(self.day.callers.pause, lambda: self.arrive(i, tries + 1, node.number))
+            elif self.answers[i] is None:
+                self.answers[i] = Told(now, "errored")
+            return
+        self.moves[now // 1_000_000, node.number] = self.moves.get((now // 1_000_000, node.number), 0) + 1
         again = tries > 1 and self.day.callers.marked
         req = Asked(handler, now, time + handler.timeout, self.day.machines.held_kb, again)
         req.work, req.first, req.tries, req.answered_at, req.poorer, req.left = work, i, tries, 0, False, 0
@@ -247,6 +325,29 @@
         self.sent += 1
         node.arrive(req)
 
+    def chosen(self, caller: int, now: int, avoid: int) -> Node:
+        """Whom a caller asks: one of those that are listed, healthy, not avoided, and that it was not told to
+        stay away from; where it goes by subject its own, and else the next. Drawn a few times before all are
+        looked at, since the list may be long."""
+        nodes, away = self.nodes, self.away
+        if self.day.callers.by_subject:
+            first = caller * 2_654_435_761 % 2**32 * len(nodes) >> 32
+            for step in range(len(nodes)):
+                node = nodes[(first + step) % len(nodes)]
+                if node.listed and node.good and node.number != avoid \
+                        and away.get((caller, node.number), 0) <= now:
+                    return node
+        elif len(nodes) > 16:
+            for _ in range(8):
+                node = nodes[int(self.chance.integers(len(nodes)))]
+                if node.listed and node.good and node.number != avoid \
+                        and away.get((caller, node.number), 0) <= now:
+                    return node
+        there = [n for n in nodes if n.listed and n.good] or [n for n in nodes if n.listed] or nodes
+        left = [n for n in there if away.get((caller, n.number), 0) <= now and n.number != avoid]
+        left = left or [n for n in there if n.number != avoid] or there
+        return left[int(self.chance.integers(len(left)))]
+
     def told(self, req: Asked, node: Node, what) -> None:
         """A try's final answer; a further try may follow."""
         if req.answered_at:
@@ -273,7 +374,9 @@
 class Result(NamedTuple):
     """What a day came to. By class: offered and earned value, and counts; times in microseconds to the answer
     of those done; worst memory and crowd as a share of their limits; first tries without an answer, and
-    answers to what was read in time that came after its time."""
+    answers to what was read in time that came after its time. `jain`: fairness of what was done by server,
+    for its speed; `herd`: the largest share of all tries that moved between servers from one second to the
+    next; `down`: whether what they call did not survive."""
     offered: list[float]
     earned: list[float]
     counts: list[dict[str, int]]
@@ -284,6 +387,9 @@
     unanswered: int
     overdue: int
     by_second: np.ndarray
+    jain: float = 1.0
+    herd: float = 0.0
+    down: bool = False
 
     def share(self) -> float:
         return sum(self.earned) / max(1e-9, sum(self.offered))
@@ -316,23 +422,50 @@
     m = day.machines
     return Result(offered, earned, counts, times, max(x.worst_kb for x in run.nodes) / m.memory_kb,
                   max(x.worst_crowd for x in run.nodes), run.sent / max(1, len(day.arrivals)), unanswered,
-                  run.overdue, by_second)
-
-
-def deciding(pools: bool | str = True, minimum: float = 0.02) -> Callable[[Node], Server]:
-    """Makes the module's decisions for a node: with pools, without, or with only one part of them."""
+                  run.overdue, by_second, jain(run), herd(run), bool(run.below and run.below.down))
+
+
+def jain(run: Running) -> float:
+    """Jain's index of what each server of the first did for its speed (Jain, Chiu and Hawe 1984)."""
+    done = [x.done / x.pace for x in run.nodes[:run.day.machines.servers] if x.up]
+    return sum(done) ** 2 / max(1e-9, len(done) * sum(x * x for x in done)) if done else 1.0
+
+
+def herd(run: Running) -> float:
+    """The largest share of a second's tries that went to servers that had fewer in the second before."""
+    seconds: dict[int, dict[int, int]] = {}
+    for (second, number), count in run.moves.items():
+        seconds.setdefault(second, {})[number] = count
+    worst = 0.0
+    for second, counts in seconds.items():
+        before = seconds.get(second - 1)
+        if before and sum(before.values()) > 50:
+            whole, then = sum(counts.values()), sum(before.values())
+            moved = sum(max(0.0, n / whole - before.get(number, 0) / then) for number, n in counts.items())
+            worst = max(worst, moved)
+    return worst
+
+
+def deciding(pools: bool | str = True, minimum: float = 0.02,
+             beside: Callable[[Node, Below, Fleet], None] = lambda node, below, fleet: None) \
+        -> Callable[[Node], Server]:
+    """Makes the module's decisions for a node: with pools, without, or with only one part of them. `beside`
+    may put in what other servers state."""
     def make(node: Node) -> Server:
         day, m = node.fleet.day, node.fleet.day.machines
-        below = Below(day.shared is not None, None, 0, 0)
+        below, size = Below(day.shared is not None, None, 0, 0), m.told or m.servers
         if day.shared:
-            below = Below(True, 4.0 * day.shared.slots / m.servers, 5_000_000, 200_000)
-        machine = Machine(m.cores, m.memory_kb, m.blowup, 0.0, m.fresh, StopMode.NEVER, ())
+            survives = day.shared.survives or 4.0 * day.shared.slots
+            below = Below(True, survives / size, MEAN, 200_000)
+        machine = Machine(m.cores, m.memory_kb, m.blowup, 0.0, node.fresh, StopMode.NEVER, ())
         limits = Limits(100_000, 2_000_000, m.tip_multiple, 1_500_000, COLD, WARM)
         handlers = node.fleet.handlers
         shares = Pools(node.fleet.now(), m.cores, {h: h for h in handlers}, minimum, pools != RESERVE,
                        pools != LIMITS) if pools else None
         permits = Permits(True, 1_000_000, None, 0, False, True, False, False, 30_000_000)
-        chance = random.Random(day.seed * 1000 + node.number)
-        return Server(node.fleet.now(), node, chance, handlers, [], machine, limits, below, permits,
-                      Fleet(m.servers, False, 0.0, 0, 16), shares)
+        chance, fleet = random.Random(day.seed * 1000 + node.number), Fleet(size, False, 0.0, 0,
+                                                                            day.callers.count)
+        beside(node, below, fleet)
+        return Server(node.fleet.now(), node, chance, handlers, [], machine, limits, below, permits, fleet,
+                      shares)
     return make
--- a/gullyoke/emulator/shares.py
+++ b/gullyoke/emulator/shares.py
@@ -26,9 +26,9 @@
         self.ahead = chance.randrange(10**9)
         self.up, self.paused = True, 0
         self.part = Sharing(self.now(), chance.getrandbits(40), play.homes, play.tokens, play.floor, home,
-                            votes)
+                            votes, LINGER)
         self.borrower = self.part.borrower
-        self.own = Own(self.now(), self.part, LINGER)
+        self.own = Own(self.part, LINGER)
         self.calls = 0                                # how many it would make at once
         self.out: set[Call] = set()
 
--- a/gullyoke/features/back_ends.py
+++ b/gullyoke/features/back_ends.py
@@ -34,7 +34,7 @@
         machine = told.facts.machine
         # Whether running work can be stopped is the back ends' affair, not the engine's of the settings.
         machine.stop_mode = StopMode.DISCARD if wanted.stops_on_close else StopMode.NEVER
-        told.facts.below.exists = False               # their calls do not come by us
+        told.facts.below.exists, told.facts.below.share = False, None     # their calls do not come by us
         pool = Pool(random.Random(told.seed ^ 0x5C91), wanted.ejecting.pool_share, wanted.first_limit,
                     wanted.linger, lambda draw: healthy(wanted, draw))
         dispatch = Dispatch(pool, Budget(wanted.retry_share, wanted.retry_burst))
--- a/gullyoke/features/shares.py
+++ b/gullyoke/features/shares.py
@@ -10,7 +10,7 @@
 from gullyoke.peers.sharing import TOPIC, SharedSlots, stated
 from gullyoke.together.fair import split
 from gullyoke.together.sharing import Sharing
-from gullyoke.together.slots import Own
+from gullyoke.together.slots import UNIT, Mean, Own
 
 
 class Shares(Part):
@@ -21,22 +21,28 @@
 
     def join(self, fleet: Fleet) -> None:
         """Raises `Misstated` where there is nothing below that could be shared."""
-        if not fleet.house.told.facts.below.exists:
+        below = fleet.house.told.facts.below
+        if not below.exists:
             raise Misstated(f"{fleet.path}: fleet.shares: no calls go below from here; right would be none")
+        if self.wanted.mean and not below.span:
+            raise Misstated(f"{fleet.path}: fleet.shares.mean: the settings state no span (ShareSpanUs); "
+                            "right would be slots at every moment")
 
     def begin(self, fleet: Fleet) -> None:
         wanted, told, member = self.wanted, fleet.house.told, fleet.member
         below = told.facts.below
-        floor, tokens = split(wanted.slots, wanted.largest, wanted.homes, wanted.floor_share)
+        # A limit on the mean is lent in parts of a call, and what was used counts for its span.
+        unit, after = (UNIT, below.span) if wanted.mean else (1, 0)
+        floor, tokens = split(wanted.slots * unit, wanted.largest, wanted.homes, wanted.floor_share)
         home = told.name if told.name in wanted.homes else None
         votes = home is not None and wanted.homes[home] == fleet.wanted.advertise
         sharing = Sharing(clock.now(), member.row.life, wanted.homes, tokens.get(home, 0), floor, home,
-                          votes)
+                          votes, below.linger, after)
         sharing.borrower.weight = wanted.weight
-        self.shared = SharedSlots(Own(clock.now(), sharing, below.linger), wanted.homes,
-                             stated(wanted.homes, wanted.slots, floor), fleet.taken)
-        # Slots bound what is out at every moment: the mean over a span that is stated needs no bound beside.
-        below.slots, below.share = self.shared, None
+        own = Mean(sharing, below.linger, below.span) if wanted.mean else Own(sharing, below.linger)
+        self.shared = SharedSlots(own, wanted.homes, stated(wanted.homes, wanted.slots * unit, floor),
+                                  fleet.taken)
+        below.slots = self.shared
         fleet.link.topics[TOPIC] = self.shared
         fleet.link.told["shares"] = self.shared.told
         log.info("shares", extra=pairs(slots=wanted.slots, floor=floor, homes=len(wanted.homes),
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -132,4 +132,4 @@
 def shared(found: schema.Shares) -> Slotted:
     return Slotted({home.name: home.address for home in found.home}, found.slots, found.largest,
                   found.floor_share if found.HasField("floor_share") else 0.25,
-                  found.weight if found.HasField("weight") else 1.0)
+                  found.weight if found.HasField("weight") else 1.0, found.mean)
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -77,6 +77,7 @@
     largest: int
     floor_share: float
     weight: float
+    mean: bool = False
 
 
 class Together(NamedTuple):
--- a/gullyoke/peers/sharing.py
+++ b/gullyoke/peers/sharing.py
@@ -16,7 +16,7 @@
 from gullyoke.peers.link import Post
 from gullyoke.together.shares import Claim, Grant, Promise, Return, Want
 from gullyoke.together.sharing import ASKER, LENDER, Letter, Message
-from gullyoke.together.slots import Own
+from gullyoke.together.slots import Part
 
 TOPIC = 1
 KINDS = (Claim, Promise, Want, Grant, Return)
@@ -55,7 +55,7 @@
     a `Slots` for the decisions, under the desk's lock, and a `Topic` for the link; `lock` is held for
     moments."""
 
-    def __init__(self, own: Own, homes: Mapping[str, str], digest: int,
+    def __init__(self, own: Part, homes: Mapping[str, str], digest: int,
                  taken: Callable[[str], str | None]) -> None:
         self.own, self.homes, self.digest, self.taken = own, dict(homes), digest, taken
         self.lock = threading.Lock()
@@ -63,6 +63,10 @@
 
     # For the decisions.
 
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        with self.lock:
+            return self.own.share(now, told, spent)
+
     def free(self, now: int, waiting: int) -> bool:
         with self.lock:
             return self.own.free(now, waiting)
--- a/gullyoke/port/beside.py
+++ b/gullyoke/port/beside.py
@@ -7,7 +7,11 @@
 
 
 class Slots(Protocol):
-    """How many calls below this server may have out, of what all servers share."""
+    """What calls below this server may have out, of what all servers share."""
+
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        """The mean number of calls that may be out; `told`, what it is so far; `spent`, the call time, in
+        microseconds, that counts against it. None where no mean is bound."""
 
     def free(self, now: int, waiting: int) -> bool:
         """Whether one more may go out now; `waiting` would like to beside it."""
@@ -38,6 +42,9 @@
 class Unshared:
     """No slots are shared: others' calls are no affair of this server's."""
 
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        return told
+
     def free(self, now: int, waiting: int) -> bool:
         return True
 
--- a/gullyoke/together/shares.py
+++ b/gullyoke/together/shares.py
@@ -112,9 +112,9 @@
     def holds(self, now: int) -> bool:
         return now < self.until
 
-    def lends(self, now: int) -> bool:
+    def lends(self, now: int, after: int = 0) -> bool:
         """Whether it may lend: who lent under this name before has nothing out any more."""
-        return self.holds(now) and self.since is not None and now - self.since >= surely(LOAN)
+        return self.holds(now) and self.since is not None and now - self.since >= surely(LOAN + after)
 
 
 class Loan:
@@ -128,10 +128,11 @@
 
 class Home:
     """The lender of one name's tokens. Tables: `loans`, one a borrower's process, gone when its time is out;
-    `wants`, what each last asked for, gone after ASKED."""
+    `wants`, what each last asked for, gone after ASKED. `after`: microseconds for which what was used to the
+    end of a loan counts on, where the limit is on a mean."""
 
-    def __init__(self, holding: Holding, tokens: int) -> None:
-        self.holding, self.total = holding, tokens
+    def __init__(self, holding: Holding, tokens: int, after: int = 0) -> None:
+        self.holding, self.total, self.after = holding, tokens, after
         self.loans: dict[Hashable, Loan] = {}
         self.wants: dict[Hashable, tuple[int, float, int]] = {}
 
@@ -151,7 +152,7 @@
         for who in [who for who, (*_, at) in self.wants.items() if now - at > ASKED]:
             del self.wants[who]
         self.wants[want.borrower] = max(0, want.want), max(1e-6, want.weight), now
-        if not self.holding.lends(now):
+        if not self.holding.lends(now, self.after):
             return Grant(want.home, want.borrower, want.seq, 0)
         fair = parts(self.total, {who: wanted for who, (wanted, _, _) in self.wants.items()},
                      {who: weight for who, (_, weight, _) in self.wants.items()})[want.borrower]
@@ -165,7 +166,7 @@
         # Shrinking frees nothing yet: what it has it may use until it says otherwise or its time is out.
         loan.seq, loan.told, loan.tokens = want.seq, tokens, max(has, tokens)
         if tokens > 0:
-            loan.until = now + surely(LOAN)
+            loan.until = now + surely(LOAN + self.after)
         return Grant(want.home, want.borrower, want.seq, tokens)
 
     def returned(self, now: int, back: Return) -> None:
@@ -183,11 +184,12 @@
 
 
 class Borrower:
-    """One process's share: its floor by right, and what homes lend it. Tables: `held`, `asked` and `owed`,
-    one row a home at the most."""
+    """One process's share: its floor by right, from `begins` on, and what homes lend it. Tables: `held`,
+    `asked` and `owed`, one row a home at the most."""
 
-    def __init__(self, life: int, floor: int, homes: Iterable[str], mine: str | None = None) -> None:
-        self.life, self.floor = life, floor
+    def __init__(self, life: int, floor: int, homes: Iterable[str], mine: str | None = None,
+                 begins: int = 0) -> None:
+        self.life, self.floor, self.begins = life, floor, begins
         self.homes = sorted(homes, key=lambda home: (home != mine, home))
         self.held: dict[str, Held] = {}
         self.asked: dict[str, tuple[int, int]] = {}   # by home: the asking's number, and when it went out
@@ -196,11 +198,15 @@
 
     def in_force(self, now: int) -> int:
         """What it may use at this moment. Asked again after every wait: time may have passed."""
-        return self.floor + sum(held.tokens for held in self.held.values() if now < held.until)
+        return self.right(now) + sum(held.tokens for held in self.held.values() if now < held.until)
+
+    def right(self, now: int) -> int:
+        """Its floor; none while what a process before this one used of it may count."""
+        return self.floor if now >= self.begins else 0
 
     def sure(self, now: int, count: int) -> float:
         """Until when `count` are surely its own: infinite within the floor, now where they are not."""
-        count -= self.floor
+        count -= self.right(now)
         if count <= 0:
             return math.inf
         for held in sorted(self.held.values(), key=lambda held: -held.until):
@@ -217,7 +223,7 @@
             return []
         renew = now >= self.next
         self.next, self.short = now + RENEW if renew else self.next, now + SHORT
-        surplus = max(0, self.in_force(now) - max(need, self.floor))
+        surplus = max(0, self.in_force(now) - max(need, self.right(now)))
         wants = []
         turn = self.homes[self.at % len(self.homes)] if self.homes else None
         self.at += 1
--- a/gullyoke/together/sharing.py
+++ b/gullyoke/together/sharing.py
@@ -25,18 +25,19 @@
 
 class Sharing:
     """`home` is the name it lends under, None where it is at none; `votes`, whether it is at that home's
-    stated address. `tokens` is what each home has to lend, `floor` what each process has by right."""
+    stated address. `tokens` is what this home has to lend, `floor` what each process has by right;
+    `linger` and `after`, for how long what a process used before its end stays in use, and counts."""
 
     def __init__(self, now: int, life: int, homes: Iterable[str], tokens: int, floor: int,
-                 home: str | None = None, votes: bool = False) -> None:
+                 home: str | None = None, votes: bool = False, linger: int = 0, after: int = 0) -> None:
         self.homes = tuple(homes)
         if home is not None and home not in self.homes:
             raise ValueError(f"{home!r} is none of the homes {', '.join(self.homes)}")
         self.home, self.need, self.used = home, 0, 0
-        self.borrower = Borrower(life, floor, self.homes, home)
+        self.borrower = Borrower(life, floor, self.homes, home, now + linger + after)
         self.voter = Voter(now, home, self.homes) if home and votes else None
         self.holding = Holding(home, life, self.homes) if home else None
-        self.lender = Home(self.holding, tokens) if self.holding else None
+        self.lender = Home(self.holding, tokens, after) if self.holding else None
 
     def in_force(self, now: int) -> int:
         """What this process may use at this moment: asked again after every wait."""
--- a/gullyoke/together/slots.py
+++ b/gullyoke/together/slots.py
@@ -1,11 +1,15 @@
-"""One server's slots of what all servers share below: the part of the port that the decisions ask (`Slots`).
+"""One server's part of what all servers share below: what the decisions ask of it (the port's `Slots`).
 
-A call takes a slot from when it goes out until it is over, and one that was lost until its linger is over as
-well: the dependency may have it in hand so long. A call never goes out for longer than its slot is surely
-this server's, so that what a home lends again is free by then. What is wanted is told from the most that were
-out and waiting of late."""
+Two kinds of limit. `Own`: so many calls in hand at every moment. A call takes a slot from when it goes out
+until it is over, and one that was lost until its linger is over as well: the dependency may have it in hand
+so long. `Mean`: so many in the mean of a span. What is lent then is a part of that mean, in UNITs, and
+call time that was used counts for a whole span, so what is passed on is free of it first.
+
+A call never goes out for longer than what it stands on is surely this server's. What is wanted is told from
+the most that were out and waiting of late."""
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from gullyoke.together.shares import RENEW
@@ -14,6 +18,8 @@
 LEAST = 100_000                        # microseconds: for less than that no call goes out
 AHEAD = 8                              # one slot more is wanted for so many in use, so that growth finds some
 SPAN = 2 * RENEW                       # what was wanted counts for so long, and half as long again
+UNIT = 16                              # tokens of a mean of one call in hand
+USED = 0.95                            # of a mean share, so much is used: the decisions' own margin
 
 
 class Peak:
@@ -36,29 +42,47 @@
             self.lately, self.since = 0, now
 
 
-class Own:
-    """`sharing` is this process's part; `linger`, microseconds for which a lost call may stay below. Table:
-    `lingers`, when each lost call is over at the latest; it leaves then."""
+class Part:
+    """What both kinds have in common: this process's part, what it wants, and its letters."""
 
-    def __init__(self, now: int, sharing: Sharing, linger: int) -> None:
-        self.sharing, self.linger, self.out = sharing, linger, 0
-        # What the process before this one had out may linger as long: nothing goes out until then.
-        self.begins = now + linger
-        self.lingers: deque[int] = deque()
-        self.peak = Peak()
+    def __init__(self, sharing: Sharing, linger: int) -> None:
+        self.sharing, self.linger, self.peak = sharing, linger, Peak()
         self.refused = 0                              # how often none was free
 
+    def used(self, now: int) -> int:
+        """Tokens in use."""
+        raise NotImplementedError
+
+    def turn(self, now: int) -> list[Letter]:
+        most = self.peak.most(now)
+        self.sharing.need, self.sharing.used = most + -(-most // AHEAD), self.used(now)
+        return self.sharing.turn(now)
+
+    def hear(self, now: int, message: Message) -> Letter | None:
+        self.sharing.used = self.used(now)
+        return self.sharing.hear(now, message)
+
+
+class Own(Part):
+    """Slots. Table: `lingers`, when each lost call is over at the latest; it leaves then."""
+
+    def __init__(self, sharing: Sharing, linger: int) -> None:
+        super().__init__(sharing, linger)
+        self.out = 0
+        self.lingers: deque[int] = deque()
+
     def used(self, now: int) -> int:
         while self.lingers and self.lingers[0] <= now:
             self.lingers.popleft()
         return self.out + len(self.lingers)
 
-    # What the decisions ask.
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        return None                                   # what is out at every moment needs no mean beside
 
     def free(self, now: int, waiting: int) -> bool:
         used = self.used(now)
         self.peak.note(now, used + waiting + 1)
-        free = now >= self.begins and self.sharing.borrower.sure(now, used + 1) - self.linger > now + LEAST
+        free = self.sharing.borrower.sure(now, used + 1) - self.linger > now + LEAST
         self.refused += not free
         return free
 
@@ -76,13 +100,38 @@
         if lost and self.linger:
             self.lingers.append(now + self.linger)
 
-    # What its messages need.
 
-    def turn(self, now: int) -> list[Letter]:
-        most = self.peak.most(now)
-        self.sharing.need, self.sharing.used = most + -(-most // AHEAD), self.used(now)
-        return self.sharing.turn(now)
+class Mean(Part):
+    """A part of the mean over `span`."""
 
-    def hear(self, now: int, message: Message) -> Letter | None:
-        self.sharing.used = self.used(now)
-        return self.sharing.hear(now, message)
+    def __init__(self, sharing: Sharing, linger: int, span: int) -> None:
+        super().__init__(sharing, linger)
+        self.span, self.spent = span, 0.0
+
+    def used(self, now: int) -> int:
+        return math.ceil(self.spent * UNIT / (USED * self.span))
+
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        """What is sure for a wake-up and more; never nothing, so that a wait can be reckoned."""
+        self.spent = spent
+        self.peak.note(now, math.ceil(1.25 * self.used(now)) + 1)
+        borrower = self.sharing.borrower
+        held = sum(held.tokens for held in borrower.held.values() if held.until > now + 2 * LEAST)
+        return max(0.01, (borrower.right(now) + held) / UNIT)
+
+    def free(self, now: int, waiting: int) -> bool:
+        """The mean in force bounds it. Who waits wants twice what it has, and one call at the least."""
+        if waiting:
+            self.refused += 1
+            self.peak.note(now, 2 * self.sharing.in_force(now) + UNIT)
+        return True
+
+    def until(self, now: int) -> float:
+        return max(self.sharing.borrower.sure(now, self.used(now) + 1), now + self.linger + 1)
+
+    def pace(self, now: int) -> float:
+        return max(0.25, self.sharing.in_force(now) / UNIT)
+
+    def began(self) -> None: ...
+
+    def ended(self, now: int, lost: bool) -> None: ...
--- a/tests/together/test_shares.py
+++ b/tests/together/test_shares.py
@@ -176,7 +176,7 @@
     def test_names_and_starts(self):
         """Two processes for one home, voters that forget, a home that forgets: nothing is lent twice, and
         each of these would be without its guard."""
-        def early(self, now):
+        def early(self, now, after=0):
             return self.holds(now)
 
         def forgetful(self, now, name, homes):
--- a/tests/together/test_wire.py
+++ b/tests/together/test_wire.py
@@ -55,7 +55,7 @@
             life = 100 + i
             limit = TOKENS if i < 3 else TOKENS + 1
             sharing = Sharing(clock.now(), life, homes, limit, 1, f"p{i}" if i < 3 else None, i < 3)
-            part = SharedSlots(Own(clock.now(), sharing, 0), homes, stated(homes, limit, 1),
+            part = SharedSlots(Own(sharing, 0), homes, stated(homes, limit, 1),
                                lambda name: None)
             link.topics[TOPIC] = part
             parts.append(part)
