Homes weigh what a borrower holds elsewhere, and nobody starves by its name

Each home saw only what it lent itself, so who had much elsewhere got as much as who had nothing; ties went by name, the same at all homes, so where fewer tokens than borrowers are, the same ones had none. And a mean whose tokens ran short gave a call a patience of a microsecond. To blame: parts() in together/fair.py, Mean.until.

Change: a borrower tells what it has besides; a home fills all up to one level, weighed four times a second; what rounding leaves changes hands by a hash. A mean counts only loans that last for a call, and its calls end by the first of these.

--- a/gullyoke/emulator/fleet.py
+++ b/gullyoke/emulator/fleet.py
@@ -102,7 +102,8 @@
         self.unread: deque[Asked] = deque()
         self.reading, self.kb, self.worst_kb, self.worst_crowd = 0, 0.0, 0.0, 0.0
         self.busy, self.window, self.seen = 0.0, deque(maxlen=20), (0.0, 0.0)
-        self.pace = 0.5 if number % 100 < m.slow * 100 else 1.0
+        # Spread evenly over the numbers: so many of any first few are slow.
+        self.pace = 0.5 if int((number + 1) * m.slow) > int(number * m.slow) else 1.0
         self.links: dict[int, int] = {}               # connections by caller, and when each was last used
         self.keeps, self.listed, self.up, self.good = day.callers.idle, True, True, True
         self.fresh = m.fresh or fleet.now() > 0
--- a/gullyoke/together/fair.py
+++ b/gullyoke/together/fair.py
@@ -2,33 +2,38 @@
 than its part shares what the others leave (max-min fairness, Bertsekas and Gallager 1992)."""
 from __future__ import annotations
 
-from collections.abc import Hashable, Iterable, Mapping
-
-
-def parts(total: int, wants: Mapping[Hashable, int],
-          weights: Mapping[Hashable, float]) -> dict[Hashable, int]:
-    """Whole parts of `total`, the same whatever order they are asked in. A weight that is not stated is 1."""
-    given = dict.fromkeys(wants, 0)
-    open_ = {who: want for who, want in wants.items() if want > 0}
-    left = total
-    while open_ and left > 0:
-        whole = sum(weights.get(who, 1.0) for who in open_)
-        met = [who for who, want in open_.items() if want <= left * weights.get(who, 1.0) / whole]
-        if not met:
-            break
-        for who in met:
-            given[who] = open_.pop(who)
-        left = total - sum(given.values())
-    if open_ and left > 0:
-        whole = sum(weights.get(who, 1.0) for who in open_)
-        exact = {who: left * weights.get(who, 1.0) / whole for who in open_}
-        for who, part in exact.items():
-            given[who] = int(part)
-        # What rounding leaves goes to the largest remainders; ties by name, so that all come to the same.
-        spare = left - sum(int(part) for part in exact.values())
-        for who in sorted(exact, key=lambda who: (int(exact[who]) - exact[who], str(who)))[:spare]:
-            given[who] += 1
-    return given
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+EXACT = 1e-6                           # of the level
+
+
+class Wish(NamedTuple):
+    """So many are wanted of this, beside what is held `elsewhere`; by weight."""
+    want: int
+    elsewhere: int = 0
+    weight: float = 1.0
+
+    def part(self, level: float) -> float:
+        """What it gets where all are filled up to `level` times their weight, counting what they hold
+        elsewhere."""
+        return min(float(self.want), max(0.0, level * self.weight - self.elsewhere))
+
+
+def level(total: int, wishes: Iterable[Wish]) -> float:
+    """To where all are filled, so that `total` is given out; infinite where there is enough for all."""
+    wishes = list(wishes)
+    if sum(wish.want for wish in wishes) <= total:
+        return math.inf
+    low, high = 0.0, max((wish.want + wish.elsewhere) / wish.weight for wish in wishes)
+    while high - low > EXACT * max(1.0, high):
+        middle = (low + high) / 2
+        if sum(wish.part(middle) for wish in wishes) > total:
+            high = middle
+        else:
+            low = middle
+    return low
 
 
 def split(limit: int, largest: int, homes: Iterable[str], floor_share: float) -> tuple[int, dict[str, int]]:
--- a/gullyoke/together/shares.py
+++ b/gullyoke/together/shares.py
@@ -14,7 +14,8 @@
 from collections.abc import Hashable, Iterable
 from typing import NamedTuple
 
-from gullyoke.together.fair import parts
+from gullyoke.members.row import whole
+from gullyoke.together.fair import Wish, level
 from gullyoke.together.spans import surely
 
 LEASE, LOAN = 3_000_000, 4_000_000     # microseconds for which a name and a loan are held
@@ -22,6 +23,8 @@
 SHORT = RENEW // 4                     # and one home after so long by who is short
 GROWTH = 4                             # a loan grows by one in so many of the home's tokens at once
 ASKED = 3 * RENEW                      # what a borrower last wanted counts for so long
+WEIGHED = RENEW // 4                   # a home weighs who gets how much so often, whatever comes
+TURNED = 4 * RENEW                     # and who gets what rounding leaves changes so often
 
 
 class Claim(NamedTuple):
@@ -41,12 +44,13 @@
 
 class Want(NamedTuple):
     """A loan is asked for, or asked for again: `want` tokens, under the borrower's own number for it. A lower
-    `seq` than the last is old."""
+    `seq` than the last is old. `elsewhere`: what it has besides."""
     home: str
     borrower: int
     seq: int
     want: int
     weight: float = 1.0
+    elsewhere: int = 0
 
 
 class Grant(NamedTuple):
@@ -134,7 +138,8 @@
     def __init__(self, holding: Holding, tokens: int, after: int = 0) -> None:
         self.holding, self.total, self.after = holding, tokens, after
         self.loans: dict[Hashable, Loan] = {}
-        self.wants: dict[Hashable, tuple[int, float, int]] = {}
+        self.wants: dict[Hashable, tuple[Wish, int]] = {}
+        self.level, self.weighed = math.inf, None
 
     def out(self, now: int) -> int:
         """Tokens that may be in force at borrowers."""
@@ -149,14 +154,11 @@
             return None
         free = self.total - self.out(now)
         loan = self.loans.get(want.borrower)
-        for who in [who for who, (*_, at) in self.wants.items() if now - at > ASKED]:
-            del self.wants[who]
-        self.wants[want.borrower] = max(0, want.want), max(1e-6, want.weight), now
+        wish = Wish(max(0, want.want), max(0, want.elsewhere), max(1e-6, want.weight))
+        self.wants[want.borrower] = wish, now
         if not self.holding.lends(now, self.after):
             return Grant(want.home, want.borrower, want.seq, 0)
-        fair = parts(self.total, {who: wanted for who, (wanted, _, _) in self.wants.items()},
-                     {who: weight for who, (_, weight, _) in self.wants.items()})[want.borrower]
-        has = loan.tokens if loan else 0
+        fair, has = self.fair(now, want.borrower, wish), loan.tokens if loan else 0
         grown = (loan.told if loan else 0) + max(1, self.total // GROWTH)
         tokens = min(fair, grown, has + free)
         if loan is None:
@@ -169,6 +171,18 @@
             loan.until = now + surely(LOAN + self.after)
         return Grant(want.home, want.borrower, want.seq, tokens)
 
+    def fair(self, now: int, borrower: Hashable, wish: Wish) -> int:
+        """Its part in whole tokens: what rounding leaves goes to one and then to another, told by a hash, so
+        that nobody is left without for ever where there are fewer than want one."""
+        if self.weighed is None or now - self.weighed >= WEIGHED:
+            self.weighed = now
+            for who in [who for who, (_, at) in self.wants.items() if now - at > ASKED]:
+                del self.wants[who]
+            self.level = level(self.total, (wish for wish, _ in self.wants.values()))
+        part = wish.part(self.level)
+        draw = whole(f"{self.holding.home} {borrower} {now // TURNED}") / 2**64
+        return min(wish.want, int(part + draw))
+
     def returned(self, now: int, back: Return) -> None:
         """It uses no more than that now, whatever it was granted up to `seq`: later ones are on their way."""
         loan = self.loans.get(back.borrower)
@@ -236,7 +250,7 @@
             if want and home == turn or renew and has:
                 self.seq += 1
                 self.asked[home] = self.seq, now
-                wants.append(Want(home, self.life, self.seq, want, self.weight))
+                wants.append(Want(home, self.life, self.seq, want, self.weight, self.in_force(now) - has))
         return wants
 
     def hear(self, now: int, grant: Grant, used: int = 0) -> Return | None:
--- a/gullyoke/together/slots.py
+++ b/gullyoke/together/slots.py
@@ -12,12 +12,13 @@
 import math
 from collections import deque
 
-from gullyoke.together.shares import RENEW
+from gullyoke.together.shares import RENEW, Held
 from gullyoke.together.sharing import Letter, Message, Sharing
 
 LEAST = 100_000                        # microseconds: for less than that no call goes out
 AHEAD = 8                              # one slot more is wanted for so many in use, so that growth finds some
 SPAN = 2 * RENEW                       # what was wanted counts for so long, and half as long again
+CALL = 600_000                         # microseconds for which a mean must be sure, the linger beside
 UNIT = 16                              # tokens of a mean of one call in hand
 USED = 0.95                            # of a mean share, so much is used: the decisions' own margin
 
@@ -112,12 +113,16 @@
         return math.ceil(self.spent * UNIT / (USED * self.span))
 
     def share(self, now: int, told: float | None, spent: float) -> float | None:
-        """What is sure for a wake-up and more; never nothing, so that a wait can be reckoned."""
+        """What is sure for a call's time; never nothing, so that a wait can be reckoned."""
         self.spent = spent
         self.peak.note(now, math.ceil(1.25 * self.used(now)) + 1)
-        borrower = self.sharing.borrower
-        held = sum(held.tokens for held in borrower.held.values() if held.until > now + 2 * LEAST)
-        return max(0.01, (borrower.right(now) + held) / UNIT)
+        tokens = self.sharing.borrower.right(now) + sum(held.tokens for held in self._sure(now))
+        return max(0.01, tokens / UNIT)
+
+    def _sure(self, now: int) -> list[Held]:
+        """The loans that last for a call, and so are counted."""
+        return [held for held in self.sharing.borrower.held.values()
+                if held.tokens and held.until > now + self.linger + CALL]
 
     def free(self, now: int, waiting: int) -> bool:
         """The mean in force bounds it. Who waits wants twice what it has, and one call at the least."""
@@ -127,7 +132,7 @@
         return True
 
     def until(self, now: int) -> float:
-        return max(self.sharing.borrower.sure(now, self.used(now) + 1), now + self.linger + 1)
+        return min((held.until for held in self._sure(now)), default=math.inf)
 
     def pace(self, now: int) -> float:
         return max(0.25, self.sharing.in_force(now) / UNIT)
