--- a/gullyoke/lab/experiment.py
+++ b/gullyoke/lab/experiment.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 
 from gullyoke.emulator.baselines import PlainPool
+from gullyoke.emulator.beside import Beside
 from gullyoke.emulator.day import SECOND, Day, Machines, Work, drawn
 from gullyoke.emulator.fleet import LIMITS, RESERVE, Node, deciding
+from gullyoke.emulator.kinds import grown
 from gullyoke.lab import experiment_pb2 as schema
 from gullyoke.operator.checked import parsed
 
@@ -34,14 +36,16 @@
 
     def day(self, name: str, seed: int) -> Day:
         found = self.found
+        length = int((found.length_s if found.HasField("length_s") else 20.0) * SECOND)
         kind = next(d for d in found.day if d.name == name)
+        if kind.grown:
+            return grown(kind.grown, seed, found.servers or 48, length)
         machines = Machines(
             servers=found.servers or 3, cores=found.cores or 6, fresh=kind.fresh,
             speeds=tuple((int(s.from_s * SECOND), s.speed) for s in kind.speed))
         works = tuple(Work(w.name, w.share, int(w.work_ms * 1000), w.cv if w.HasField("cv") else 0.6,
                            int(w.target_ms * 1000), int(w.timeout_ms * 1000), w.value, w.late_share)
                       for w in found.work)
-        length = int((found.length_s if found.HasField("length_s") else 20.0) * SECOND)
         return drawn(works, machines, kind.load, length, seed, swing=int(kind.swing_s * SECOND))
 
     def policy(self, name: str) -> Callable[[Node], object]:
@@ -50,6 +54,10 @@
         cores = self.found.cores or 6
         if arm.policy in (schema.Arm.PLAIN_POOL, schema.Arm.STRICT):
             return lambda node: PlainPool(node, cores, LINE * cores, arm.policy == schema.Arm.STRICT)
+        told = {schema.Arm.SIGNALS: (True, False), schema.Arm.SHARES: (False, True),
+                schema.Arm.TOGETHER: (True, True)}.get(arm.policy)
+        if told is not None:                          # made anew for each play
+            return deciding(False, beside=Beside(1, *told))
         part = {schema.Arm.POOLS: True, schema.Arm.NO_POOLS: False, schema.Arm.LIMITS: LIMITS,
                 schema.Arm.RESERVE: RESERVE}[arm.policy]
         return deciding(part, arm.minimum if arm.HasField("minimum") else 0.02)
--- a/gullyoke/port/beside.py
+++ b/gullyoke/port/beside.py
@@ -32,8 +32,8 @@
     """What the others' words come to."""
 
     def full(self, alone: bool) -> bool:
-        """Whether most of them turn reqs away themselves; where too little is known of them `alone`, what
-        this server says by itself."""
+        """Whether so many turn reqs away themselves that a further try is not worth it; `alone`, what this
+        server says by itself."""
 
     def stay(self, wait: int) -> int:
         """How long a caller should stay away, in microseconds, where this server alone would say `wait`."""
--- a/gullyoke/together/signals.py
+++ b/gullyoke/together/signals.py
@@ -20,6 +20,7 @@
 SLOW, WELL = 2.0, 1.3                  # times the peers' pace: slow alone from the one, well under the other
 LASTS = 3_000_000                      # a state is left or entered after so long
 BACK = 0.1                             # of the peers may have taken themselves back before one more does not
+FULLS = 0.3                            # of the peers full, from which no further try is worth its cost
 SPREAD = 0.5                           # advice is drawn so far around its length, as a share of it
 
 
@@ -154,9 +155,10 @@
             self.back, self.since = not self.back, None
 
     def full(self, alone: bool) -> bool:
-        """Whether a shed should not be tried at another server: where most peers are full themselves. Where
-        nothing is known of them, as without them."""
-        return alone if self.seen is None else self.seen.full >= 0.5
+        """Whether a shed should not be tried at another server: where this one says so by itself, or where a
+        third of the peers are full. (That others have room does not unsay it: half of them full as the only
+        measure cost 0.010 of the value in a burst, docs/together-design.md.)"""
+        return alone or self.seen is not None and self.seen.full >= FULLS
 
     def stay(self, wait: int) -> int:
         """How long a caller should stay away: longer where the others have more room than this one, and drawn
--- /dev/null
+++ b/gullyoke/walk/shares.py
@@ -0,0 +1,297 @@
+"""The protocol of shares in small: three homes that vote, one of which lends, a second process under that
+name, two borrowers. Times are a few ticks; clocks may be one tick apart in all.
+
+Two walks, since the whole at once grows too fast: `loans`, in which the home's name is safe and whatever can
+happen between it and its borrowers does; `names`, in which borrowers ask without faults and whatever can
+happen to the name does. What is looked for in both: more of the home's tokens in force than there are. The
+modules are those that run (gullyoke/together/shares.py), with their times put to ticks."""
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+from gullyoke.together import shares
+from gullyoke.together.shares import Borrower, Claim, Grant, Holding, Home, Promise, Return, Voter, Want
+from gullyoke.walk.explore import Move, walked
+
+TOKENS, NET = 2, 2                     # what the home lends; late messages on their way at once
+FOREVER = 10**6
+REACHED = ("v0+v1", "v1+v2")           # whom a round comes to: two majorities, with one voter in both
+HOMES = ("h0", "h1", "h2")
+
+
+@contextlib.contextmanager
+def ticks() -> Iterator[None]:
+    """The module's times in ticks: the smallest that keep their order."""
+    small = dict(LEASE=3, LOAN=3, RENEW=1, SHORT=1, ASKED=8, WEIGHED=1, TURNED=10**6, GROWTH=1)
+    with contextlib.ExitStack() as stack:
+        for name, value in small.items():
+            stack.enter_context(mock.patch.object(shares, name, value))
+        yield
+
+
+class Sharing:
+    """`lenders`: processes under the name h0, the second one started later; `borrowers` want all there is.
+    `clocks`: ticks by process. `net`: messages on their way, from and to a process."""
+
+    def __init__(self, names: bool, restarts: int = 1) -> None:
+        self.clocks = dict.fromkeys(("v0", "v1", "v2", "l0", "l1", "b0", "b1"), 0)
+        self.voters = {f"v{i}": Voter(0, home, HOMES) for i, home in enumerate(HOMES)}
+        self.lenders: dict[str, Home] = {}
+        self.borrowers = {f"b{i}": Borrower(20 + i, 0, ("h0",)) for i in range(2)}
+        self.net: list[tuple[str, str, object]] = []
+        self.names, self.drift, self.restarts, self.lives = names, 1, restarts, 10
+        self.taken = {"b0": "l0", "b1": "l0"}
+        self.begin("l0")
+
+    def begin(self, name: str) -> None:
+        self.lives += 1
+        holding = Holding("h0", self.lives, HOMES)
+        if not self.names:                            # the name is its own from its start on
+            holding.since, holding.until, holding.next = self.clocks[name], FOREVER, FOREVER
+        self.lenders[name] = Home(holding, TOKENS)
+
+    # What can happen. An exchange that nothing comes between is one move; whatever of it can be lost or late
+    # is a move of its own.
+
+    def moves(self) -> list[Move]:
+        out: list[Move] = [("time",)]
+        out += [("come", i) for i in range(len(self.net))]
+        for name, home in self.lenders.items():
+            if self.clocks[name] >= home.holding.next:
+                out += [("claim", name, reached) for reached in REACHED]
+                if len(self.net) < NET:
+                    out.append(("claim-late", name, REACHED[1]))
+        for name, one in self.borrowers.items():
+            if self.clocks[name] >= min(one.next, one.short):
+                out += [("ask", name, "done")]
+                if not self.names:
+                    out += [("ask", name, "no-return")]
+                    if len(self.net) < NET:
+                        out += [("ask", name, how) for how in ("want-late", "grant-late", "return-late")]
+        if self.drift:
+            out += [("ahead", name) for name in (("l0", "b0", "v1") if self.names else ("l0", "b0"))]
+        if self.restarts:
+            out.append(("restart", "l0"))
+            if self.names:
+                out.append(("restart", "v1"))
+                if "l1" not in self.lenders:
+                    out.append(("double",))
+        return out
+
+    def make(self, move: Move) -> None:
+        what = move[0]
+        if what == "time":
+            for name in self.clocks:
+                self.clocks[name] += 1
+        elif what == "ahead":                         # its clock is a tick further from now on
+            self.drift = 0
+            self.clocks[move[1]] += 1
+        elif what == "come":
+            self.hear(*self.net.pop(move[1]))
+        elif what in ("claim", "claim-late"):
+            self.claim(move[1], move[2], what == "claim-late")
+        elif what == "ask":
+            self.ask(move[1], move[2])
+        elif what == "double":                        # and one of the borrowers takes it for the home
+            self.restarts -= 1
+            self.begin("l1")
+            self.taken["b1"] = "l1"
+        elif what == "restart":
+            self.restarts -= 1
+            if move[1] == "l0":
+                self.begin("l0")
+            else:
+                self.voters[move[1]] = Voter(self.clocks[move[1]], HOMES[int(move[1][1])], HOMES)
+
+    def claim(self, name: str, reached: str, late: bool) -> None:
+        """A round that comes to these voters; `late`: the last of their words stays on its way."""
+        claim = self.lenders[name].holding.claim(self.clocks[name])
+        for voter in reached.split("+"):
+            promise = self.voters[voter].claim(self.clocks[voter], claim)
+            if late and voter == reached.split("+")[-1]:
+                self.net.append((voter, name, promise))
+            else:
+                self.hear(voter, name, promise)
+
+    def ask(self, name: str, how: str) -> None:
+        for want in self.borrowers[name].ask(self.clocks[name], TOKENS):
+            message, from_, to = want, name, self.taken[name]
+            while message is not None:
+                kind = {Want: "want", Grant: "grant", Return: "return"}[type(message)]
+                if how == f"{kind}-late":
+                    self.net.append((from_, to, message))
+                    return
+                if how == f"no-{kind}":
+                    return
+                message, from_, to = self.answer(from_, to, message), to, from_
+
+    def hear(self, from_: str, to: str, message: object) -> None:
+        """A late message, and at once whatever it brings about."""
+        while message is not None:
+            message, from_, to = self.answer(from_, to, message), to, from_
+
+    def answer(self, from_: str, to: str, message: object) -> object | None:
+        now = self.clocks[to]
+        if isinstance(message, Claim):
+            return self.voters[to].claim(now, message)
+        if isinstance(message, Promise):
+            self.lenders[to].holding.hear(now, message)
+        elif isinstance(message, Want):
+            return self.lenders[to].want(now, message)
+        elif isinstance(message, Grant):
+            return self.borrowers[to].hear(now, message)
+        elif isinstance(message, Return):
+            self.lenders[to].returned(now, message)
+        return None
+
+    # What is asked of it.
+
+    def key(self) -> tuple:
+        """Times as seen from now, so that the same situation later is the same state."""
+        def rel(name: str, at: int | None) -> int | None:
+            return None if at is None else max(-6, at - self.clocks[name])
+
+        voters = [(name, max(-1, rel(name, v.mute)), sorted((life, max(-1, rel(name, until)))
+                                                            for life, until in v.promised.values()))
+                  for name, v in self.voters.items()]
+        lenders = [(name, h.holding.life, rel(name, h.holding.asked), max(-1, rel(name, h.holding.next)),
+                    sorted(h.holding.said), max(-1, rel(name, h.holding.until)), rel(name, h.holding.since),
+                    sorted((who, x.seq - self.seq(who), x.tokens, x.told, max(-1, rel(name, x.until)))
+                           for who, x in h.loans.items()),
+                    sorted((who, w.want, rel(name, at)) for who, (w, at) in h.wants.items()), h.level)
+                   for name, h in self.lenders.items()]
+        borrowers = [(name, max(-1, rel(name, min(b.next, b.short))),
+                      [(x.tokens, max(-1, rel(name, x.until)), x.seq - b.seq) for x in b.held.values()],
+                      [(seq - b.seq, rel(name, at)) for seq, at in b.asked.values()], len(b.owed))
+                     for name, b in self.borrowers.items()]
+        net = [(a, b, type(m).__name__, *self.told(a, b, m)) for a, b, m in self.net]
+        skew = tuple(self.clocks[name] - self.clocks["b1"] for name in self.clocks)
+        return voters, lenders, borrowers, net, skew, self.drift, self.restarts, self.taken["b1"]
+
+    def seq(self, who: int) -> int:
+        return self.borrowers[f"b{who - 20}"].seq
+
+    def told(self, from_: str, to: str, message: object) -> tuple:
+        """A message, its numbers as seen from where they are counted."""
+        if isinstance(message, Promise):
+            return message.life, message.round - self.lenders[to].holding.round, message.kept
+        return message.borrower, message.seq - self.seq(message.borrower), message[3]
+
+    def wrong(self) -> str | None:
+        lent = sum(b.in_force(self.clocks[name]) for name, b in self.borrowers.items())
+        return f"{lent} of {TOKENS} in force" if lent > TOKENS else None
+
+
+def lending(names: bool, restarts: int = 1) -> Sharing:
+    """A world in which the home lends all to the first borrower. Its way there is one without faults."""
+    world = Sharing(names, restarts)
+    for _ in range(20):
+        for move in (("claim", "l0", REACHED[0]), ("ask", "b0", "done")):
+            if move in world.moves():
+                world.make(move)
+        if world.borrowers["b0"].in_force(world.clocks["b0"]) == TOKENS:
+            break
+        world.make(("time",))
+    return world
+
+
+# Where walks begin, each in the middle of something: whether the name is at stake, and the way there.
+STARTS = {
+    "all is well": (False, ""),
+    "a late grant": (False, "time; ask b0 grant-late; time; time"),
+    "a want that is late": (False, "time; ask b0 want-late; time"),
+    "another wants as well": (False, "ask b1 done; time"),
+    "what is late and another": (False, "ask b1 done; time; ask b0 return-late"),
+    "the home starts anew": (False, "time; ask b0 done; restart l0"),
+    "the name is held": (True, ""),
+    "its holder starts anew": (True, "time; time; ask b0 done; restart l0; time; time"),
+    "two of one name": (True, "time; claim l0 v0+v1; double; claim l1 v1+v2; time; time; ask b0 done; "
+                              "claim l1 v1+v2; time"),
+    "two, and a voter starts anew": (True, "time; claim l0 v0+v1; double; restart v1; claim l1 v1+v2; time; "
+                                           "time; ask b0 done; claim l1 v1+v2; time"),
+}
+
+
+def begun(name: str) -> Sharing:
+    """The world of a start."""
+    names, way = STARTS[name]
+    world = lending(names, 2 if "restart" in way and "double" in way else 1)
+    for move in filter(None, (step.strip() for step in way.split(";"))):
+        world.make(tuple(move.split()))
+    return world
+
+
+# Guards taken out, one each: a walk must find what each one guards against.
+
+def _counted_late() -> contextlib.AbstractContextManager:
+    hear = Borrower.hear
+
+    def late(self, now, grant, used=0):
+        back = hear(self, now, grant, used)
+        if back is not None:
+            self.held[grant.home] = self.held[grant.home]._replace(until=now + shares.LOAN)
+        return back
+    return mock.patch.object(Borrower, "hear", late)
+
+
+def _frees_at_once() -> contextlib.AbstractContextManager:
+    want = Home.want
+
+    def frees(self, now, asked):
+        found = want(self, now, asked)
+        if found is not None and asked.borrower in self.loans:
+            self.loans[asked.borrower].tokens = found.tokens
+        return found
+    return mock.patch.object(Home, "want", frees)
+
+
+def _clocks_alike() -> contextlib.AbstractContextManager:
+    return mock.patch.object(shares, "surely", lambda span: span)
+
+
+def _lends_at_once() -> contextlib.AbstractContextManager:
+    return mock.patch.object(Holding, "lends", lambda self, now, after=0: self.holds(now))
+
+
+def _voter_forgets() -> contextlib.AbstractContextManager:
+    begin = Voter.__init__
+
+    def forgets(self, now, name, homes):
+        begin(self, now, name, homes)
+        self.mute = now
+    return mock.patch.object(Voter, "__init__", forgets)
+
+
+def _any_number() -> contextlib.AbstractContextManager:
+    hear = Holding.hear
+
+    def any_number(self, now, promise):
+        hear(self, now, promise)
+        if (promise.home, promise.life) == (self.home, self.life) and promise.kept:
+            self.since = self.since if self.holds(now) else now
+            self.until = max(self.until, self.asked + shares.LEASE)
+    return mock.patch.object(Holding, "hear", any_number)
+
+
+MUTANTS: dict[str, Callable[[], contextlib.AbstractContextManager]] = {
+    "the borrower counts from before it asked": _counted_late,
+    "shrinking frees nothing before it is told": _frees_at_once,
+    "clocks that differ": _clocks_alike,
+    "a home waits out a loan": _lends_at_once,
+    "a voter that starts is mute": _voter_forgets,
+    "a majority": _any_number,
+}
+
+
+def found(mutant: str | None, depth: int, most: int = 10**6) -> tuple[int, str | None]:
+    """States walked from all starts, with one guard taken out or none, and what was found with its way."""
+    states = 0
+    with ticks(), MUTANTS[mutant]() if mutant else contextlib.nullcontext():
+        for name in STARTS:
+            walk = walked(begun(name), depth, most)
+            states += walk.states
+            if walk.found:
+                return states, f"{name}: {walk.found}\n{walk.script()}"
+    return states, None
--- /dev/null
+++ b/tests/walk/test_walk.py
@@ -0,0 +1,50 @@
+"""The explorer on a world whose states are known, and the protocol of shares walked through."""
+import unittest
+
+from gullyoke.walk import shares
+from gullyoke.walk.explore import walked
+
+
+class Counting:
+    """Two counters that go up by one, or by two; wrong where both are at `never`."""
+
+    def __init__(self, never):
+        self.at, self.never = [0, 0], never
+
+    def moves(self):
+        return [("up", i, by) for i in (0, 1) for by in (1, 2) if self.at[i] + by <= 4]
+
+    def make(self, move):
+        self.at[move[1]] += move[2]
+
+    def key(self):
+        return tuple(self.at)
+
+    def wrong(self):
+        return "both there" if self.at == [self.never] * 2 else None
+
+
+class Walk(unittest.TestCase):
+    def test_explorer(self):
+        """All states are seen once, the shortest way to a wrong one is found, and a bound is kept."""
+        whole = walked(Counting(9), 20)
+        self.assertEqual((whole.states, whole.whole, whole.found), (25, True, None))
+        found = walked(Counting(4), 20)
+        self.assertEqual((found.found, len(found.way)), ("both there", 4))
+        self.assertEqual(found.script().count("up"), 4)
+        self.assertEqual(walked(Counting(4), 3).found, None)
+        self.assertEqual(walked(Counting(9), 20, 7)[:3:2], (7, False))
+
+    def test_shares(self):
+        """No order of losses, late messages, restarts, double starts and clocks a tick apart brings more in
+        force than there is; without one of the guards some does."""
+        states, wrong = shares.found(None, 4)
+        self.assertIsNone(wrong)
+        self.assertGreater(states, 15_000)
+        for guard in shares.MUTANTS:
+            with self.subTest(guard):
+                self.assertIsNotNone(shares.found(guard, 4)[1])
+
+
+if __name__ == "__main__":
+    unittest.main()
