--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -111,7 +111,7 @@
         mean.free(now, 0)
         mean.until(now)
         mean.began()
-        mean.ended(now, False)
+        mean.ended(now, False, True)
         judged.stay(50_000)
         judged.full(False)
     return (time.perf_counter() - began) / n * 1e6
--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -280,7 +280,7 @@
         Guards against a reply that is spoilt or never comes silencing all calls, as trouble below does."""
         self.booked -= patience + self.linger
         self.told, self.out = now, self.out - 1
-        self.slots.ended(now, lost := word not in (Word.CALL_OK, Word.CALL_UNRUN))
+        self.slots.ended(now, lost := word not in (Word.CALL_OK, Word.CALL_UNRUN), word is Word.CALL_OK)
         alone = lost and (self.well > now - took or word is Word.CALL_SPOILT and not self.spoilt)
         self.spoilt = word is Word.CALL_SPOILT
         spent = took + (self.linger if lost else 0)
--- a/gullyoke/cli/fleet.py
+++ b/gullyoke/cli/fleet.py
@@ -138,3 +138,199 @@
         click.echo("\n".join(verdict.lines())
                    + f"; a member takes {verdict.cpu_share:.1%} of a core at the most")
     sys.exit(0 if verdict.good() else 1)
+
+
+# Duties of one.
+
+@fleet.command()
+@AT
+@AS_JSON
+def duties(at: str, as_json: bool) -> None:
+    """Who holds which duty, by which epoch, and how this server votes. Exit codes: 0 all held, 1 not all, 2
+    no answer.
+
+    \b
+    Example:
+      gullyoke fleet duties --at 127.0.0.1:7990
+    """
+    found = said(asked(at, "duties"))
+    if as_json:
+        click.echo(json.dumps(found))
+    else:
+        for name, one in found["duties"].items():
+            click.echo(f"{name:12} {one['holder'] or 'nobody':20} epoch {one['epoch']:<6} here {one['state']}"
+                       + (f", {one['left_ms']} ms left" if one["left_ms"] else ""))
+        votes = found["votes"]
+        if votes is not None:
+            click.echo(f"votes in set {votes['set']}: {'yes' if votes['speaks'] else 'not now'}"
+                       + (", has lost its promises" if votes["fresh"] else "")
+                       + ("" if votes["disk_well"] else ", its disk fails"))
+        for turn in found["turns"][-8:]:
+            click.echo(f"{turn['ago_ms'] / 1000:9.1f} s ago  {turn['what']} epoch {turn['epoch']}: "
+                       f"{turn['why']}")
+    sys.exit(0 if all(one["holder"] for one in found["duties"].values()) else 1)
+
+
+def said(found: dict) -> dict:
+    """What was answered, unless that is a fault."""
+    if "fault" in found:
+        refuse([found["fault"]])
+    return found
+
+
+@fleet.command("hand-over")
+@AT
+@click.argument("duty")
+@click.option("--to", default="", help="The member to have it; the best placed if not given.")
+def hand_over(at: str, duty: str, to: str) -> None:
+    """Hand a DUTY over from its holder to another, without a gap.
+
+    \b
+    Example:
+      gullyoke fleet hand-over roll --to n3
+    """
+    found = said(asked(at, f"hand-over {duty} {to}".strip()))
+    click.echo(f"{duty}: " + (f"asked of its holder {found['sent_to']}" if "sent_to" in found
+                              else f"handed to {found['to']}"))
+
+
+@fleet.group()
+def roll() -> None:
+    """A rolling restart, conducted by the holder of `roll`: whoever starts servers starts them again.
+
+    \b
+    Examples:
+      gullyoke fleet roll start --at-once 0.1
+      gullyoke fleet roll status --watch
+    """
+
+
+@roll.command()
+@AT
+@click.option("--at-once", type=click.FloatRange(0.001, 1), default=0.1, show_default=True,
+              help="The share of the fleet that may be away at once; one at the least.")
+@click.option("--a-zone", type=click.FloatRange(0.001, 1), default=0.5, show_default=True,
+              help="The share of a zone.")
+def start(at: str, at_once: float, a_zone: float) -> None:
+    """Restart all who are there now, by turns.
+
+    \b
+    Example:
+      gullyoke fleet roll start --at-once 0.05 --a-zone 0.25
+    """
+    ordered(at, f"start {at_once:g} {a_zone:g}")
+
+
+@roll.command()
+@AT
+def pause(at: str) -> None:
+    """Tell no more to go, until resumed.
+
+    \b
+    Example:
+      gullyoke fleet roll pause
+    """
+    ordered(at, "pause")
+
+
+@roll.command()
+@AT
+def resume(at: str) -> None:
+    """Go on with one that is paused, or that stopped by itself.
+
+    \b
+    Example:
+      gullyoke fleet roll resume
+    """
+    ordered(at, "resume")
+
+
+@roll.command()
+@AT
+def cancel(at: str) -> None:
+    """Tell no more to go, for good; who has gone comes back by itself.
+
+    \b
+    Example:
+      gullyoke fleet roll cancel
+    """
+    ordered(at, "cancel")
+
+
+def ordered(at: str, what: str) -> None:
+    found = said(asked(at, f"roll {what}"))
+    click.echo(f"roll {what}: " + (f"asked of its conductor {found['sent_to']}" if "sent_to" in found
+                                   else found["plan"]["state"]))
+
+
+@roll.command("status")
+@AT
+@AS_JSON
+@click.option("--watch", is_flag=True, help="With a bar, until it is over.")
+def roll_status(at: str, as_json: bool, watch: bool) -> None:
+    """How far it is. Exit codes: 0 none is going, or done; 1 going; 2 no answer; 3 stopped or paused.
+
+    \b
+    Example:
+      gullyoke fleet roll status --watch
+    """
+    found = said(asked(at, "roll status"))
+    if watch and not as_json:
+        found = watched(at, found)
+    click.echo(json.dumps(found) if as_json else
+               f"roll {found['number']} {found['state']}: {len(found['left'])} of {found['members']} left"
+               + "".join(f", {name} is away" for name, *_ in found["doing"])
+               + (f" ({found['why']})" if found["why"] else ""))
+    sys.exit({"going": 1, "paused": 3, "stopped": 3}.get(found["state"], 0))
+
+
+def watched(at: str, found: dict) -> dict:
+    """A bar that follows until it is over."""
+    with click.progressbar(length=found["members"], label="restarted") as bar:
+        while found["state"] == "going":
+            bar.update(max(0, found["members"] - len(found["left"]) - bar.pos))
+            time.sleep(1)
+            found = said(asked(at, "roll status"))
+        bar.update(max(0, found["members"] - len(found["left"]) - bar.pos))
+    return found
+
+
+@fleet.command()
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.option("--name", required=True, help="The voter's name.")
+@click.option("--set", "number", type=click.IntRange(1, 1_000_000), required=True,
+              help="The number of the set of voters from now on; the same on all that are left.")
+@click.option("--yes-a-majority-is-lost", "first", is_flag=True, help="That a majority can't come back.")
+@click.option("--yes-two-may-act", "second", is_flag=True, help="That what they had promised is not known.")
+def reform(folder: str, name: str, number: int, first: bool, second: bool) -> None:
+    """For voters of which a majority is lost for good: let this one vote in a new set, while it is stopped.
+
+    What it may break: a server that was granted a duty by voters that are lost may act on until its lease is
+    out, and what such a majority had kept (a roll that is going) is forgotten. Epochs go up by a million, so
+    that whatever compares them refuses the old ones. Run it on every voter that is left, stop all others for
+    good, wait a minute, and start them with the new set in their files.
+
+    \b
+    Example:
+      gullyoke fleet reform /var/lib/gullyoke --name n1 --set 9 --yes-a-majority-is-lost --yes-two-may-act
+    """
+    if not (first and second):
+        refuse(["it asks twice: --yes-a-majority-is-lost and --yes-two-may-act; --help says what may break"])
+    import os
+
+    from gullyoke.duty.voter import Row
+    from gullyoke.features.duties import FOLDER, OURS, QUOTA
+    from gullyoke.peers.duties import row_bytes, rows_in
+    from gullyoke.store import Disk, Store
+    files = Disk(os.path.join(folder, FOLDER))
+    try:
+        store = Store(files, roll=2**16, quota=QUOTA)
+        promised, _ = rows_in((key, value) for key, value in store.items() if key != OURS)
+        raised = {duty: Row(row.epoch + 1_000_000, 0, "") for duty, row in promised.items()}
+        store.put([(OURS, f"{name} {number}".encode()),
+                   *((f"promise {duty}", row_bytes(row)) for duty, row in raised.items())])
+    except OSError as fault:
+        refuse([f"{folder}: {fault}"])
+    finally:
+        files.close()
+    click.echo(f"{name} votes in set {number}; {len(promised)} epochs went up by a million")
--- /dev/null
+++ b/gullyoke/emulator/duty.py
@@ -0,0 +1,239 @@
+"""Duties without sockets: voters with disks, candidates with clocks of their own, and a network that loses,
+delays, doubles and cuts; a resource that takes acts by their epoch. All figures from here are simulated."""
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from gullyoke.duty.candidate import Candidate, Post
+from gullyoke.duty.fence import Fence
+from gullyoke.duty.rank import Placed, after
+from gullyoke.duty.spans import Spans
+from gullyoke.duty.voter import Row, Voter, Write
+from gullyoke.duty.words import Ask, Done, Learn, Learned, Pass, Ready, Said, Sound
+from gullyoke.rig.standins import Act
+
+SECOND, TURN, ACT, SYNC = 1_000_000, 50_000, 100_000, 5_000
+DUTY = "d"
+
+
+class Play:
+    """Members m0 and on, the first of them voters. `deaf`: members whose messages are lost on the way out or
+    in; `ill`: those whose disks fail; `slow`: a resource's acts stay on their way for up to so long. `most`:
+    how many held it at once at the most."""
+
+    def __init__(self, seed: int, voters: int, members: int, spans: Spans | None = None) -> None:
+        self.chance, self.spans = random.Random(seed), spans or Spans()
+        self.now, self.queue, self.count = 0, [], itertools.count()
+        self.members = [f"m{i}" for i in range(members)]
+        self.set, self.number = self.members[:voters], 1
+        drift = self.spans.drift / 1e6
+        self.rates = {name: 1 + self.chance.uniform(-drift / 2, drift / 2) for name in self.members}
+        self.offsets = {name: self.chance.randrange(10**9) for name in self.members}
+        self.disks: dict[str, dict[str, Row] | None] = dict.fromkeys(self.members)
+        self.voters: dict[str, Voter] = {}
+        self.candidates: dict[str, Candidate] = {}
+        self.up: set[str] = set()
+        self.paused: dict[str, int] = {}
+        self.starts = dict.fromkeys(self.members, 0)
+        self.loss, self.slow, self.deaf, self.ill = 0.0, 0, set(), set()
+        self.fence, self.acts, self.most, self.lives = Fence(), [], 0, itertools.count(1)
+        for name in self.members:
+            self.start(name)
+
+    # Processes.
+
+    def time(self, name: str) -> int:
+        return self.offsets[name] + int(self.now * self.rates[name])
+
+    def start(self, name: str) -> None:
+        self.up.add(name)
+        self.paused.pop(name, None)
+        self.starts[name] += 1
+        life, now = next(self.lives), self.time(name)
+        self.candidates[name] = one = Candidate(DUTY, name, life, self.set, self.spans, self.chance.random,
+                                                self.number)
+        one.wants = True
+        self.voters.pop(name, None)
+        if name in self.set:
+            self.vote(name, life, now)
+        self.after(self.chance.randrange(TURN), self.turn, name, self.starts[name])
+
+    def vote(self, name: str, life: int, now: int) -> None:
+        others, disk = [n for n in self.set if n != name], self.disks[name]
+        self.voters[name] = Voter(now, name, life, others, self.spans, None if disk is None else dict(disk),
+                                  self.number)
+
+    def kill(self, name: str) -> None:
+        self.up.discard(name)
+
+    def wipe(self, name: str) -> None:
+        """Its folder is lost, and it starts anew."""
+        self.disks[name] = None
+        self.start(name)
+
+    def pause(self, name: str, span: int) -> None:
+        self.paused[name] = self.now + span
+
+    def set_voters(self, names: list[str]) -> None:
+        """One voter more or fewer, taken over by each at a moment of its own; a new one starts with
+        nothing."""
+        self.number += 1
+        old, self.set = self.set, list(names)
+        for name in self.members:
+            self.after(self.chance.randrange(SECOND), self.take_set, name, old)
+
+    def take_set(self, name: str, old: list[str]) -> None:
+        one = self.candidates[name]
+        one.set_voters(self.time(name), self.set, self.number)
+        if name in self.set and name not in old:
+            self.disks[name] = None
+            self.vote(name, one.life, self.time(name))
+        elif name in self.voters and name in self.set:
+            voter = self.voters[name]
+            voter.voters, voter.others = self.number, frozenset(n for n in self.set if n != name)
+        else:
+            self.voters.pop(name, None)
+
+    # The model's clock.
+
+    def after(self, span: int, act: Callable, *given: object) -> None:
+        heapq.heappush(self.queue, (self.now + span, next(self.count), act, given))
+
+    def run(self, until: int) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, act, given = heapq.heappop(self.queue)
+            act(*given)
+            self.most = max(self.most, len(self.holders()))
+        self.now = until
+
+    def turn(self, name: str, starts: int) -> None:
+        if name not in self.up or self.starts[name] != starts:
+            return
+        if self.paused.get(name, 0) > self.now:
+            self.after(self.paused[name] - self.now, self.turn, name, starts)
+            return
+        now, one = self.time(name), self.candidates[name]
+        there = [Placed(n) for n in self.members if n in self.up]
+        one.after = after(DUTY, name, there) or 0
+        voter = self.voters.get(name)
+        learn = voter.learns(now) if voter is not None else None
+        if learn is not None:
+            self.post(name, [Post(other, learn) for other in sorted(voter.others)])
+        self.post(name, one.tick(now))
+        epoch = one.holds(now)
+        if epoch is not None and self.chance.random() < TURN / ACT:
+            # On its way it may be for as long as it likes: the process may stall between looking and acting.
+            self.after(self.chance.randrange(1, max(2, self.slow)), self.act, epoch, one.life, self.now)
+        self.after(TURN, self.turn, name, starts)
+
+    def act(self, epoch: int, life: int, came: int) -> None:
+        taken = self.fence.admits(DUTY, epoch, life)
+        self.acts.append(Act(came / 1e6, self.now / 1e6, DUTY, epoch, str(life), taken))
+
+    def post(self, from_: str, posts: list[Post]) -> None:
+        for to, message in posts:
+            if self.chance.random() < self.loss or (from_, "out") in self.deaf or (to, "in") in self.deaf:
+                continue
+            for _ in range(1 + (self.chance.random() < 0.05)):
+                self.after(self.chance.randrange(200, 5_000), self.come, from_, to, message)
+
+    def come(self, from_: str, to: str, message: object) -> None:
+        if to not in self.up:
+            return
+        if self.paused.get(to, 0) > self.now:
+            self.after(self.paused[to] - self.now, self.come, from_, to, message)
+            return
+        now, one, voter = self.time(to), self.candidates[to], self.voters.get(to)
+        answer: list[Post] = []
+        if isinstance(message, Said):
+            answer = one.hear(now, message) if from_ in self.set else []
+        elif isinstance(message, Pass):
+            answer = one.passed(now, from_, message)
+        elif isinstance(message, Ready):
+            answer = one.ready(now, from_, message)
+        elif voter is not None:
+            answer = self.voted(now, from_, to, voter, message)
+        self.post(to, answer)
+
+    def voted(self, now: int, from_: str, to: str, voter: Voter, message: object) -> list[Post]:
+        if isinstance(message, Sound):
+            return [Post(from_, voter.sound(now, message))]
+        if isinstance(message, Ask):
+            answer = voter.ask(now, message)
+            if isinstance(answer, Write):
+                self.after(self.chance.randrange(1, SYNC), self.synced, from_, to, voter, answer)
+                return []
+            return [Post(from_, answer)] if answer is not None else []
+        if isinstance(message, Done):
+            voter.done(now, message)
+        elif isinstance(message, Learn):
+            said = voter.teach(now, message)
+            return [Post(from_, said)] if said is not None else []
+        elif isinstance(message, Learned):
+            writes = voter.learned(now, message)
+            for i, write in enumerate(writes):
+                self.disks[to] = {**(self.disks[to] or {}), write.duty: write.row}
+                voter.taken(write, i == len(writes) - 1)
+            if not voter.fresh and self.disks[to] is None:
+                self.disks[to] = {}
+        return []
+
+    def synced(self, from_: str, to: str, voter: Voter, write: Write) -> None:
+        """The disk has spoken; a process that ended meanwhile hears nothing of it, and its disk may have
+        it."""
+        durable = to not in self.ill
+        if durable or self.chance.random() < 0.5:
+            self.disks[to] = {**(self.disks[to] or {}), write.duty: write.row}
+        if self.voters.get(to) is voter and to in self.up:
+            said = voter.written(self.time(to), write, durable)
+            self.post(to, [Post(from_, said)] if said is not None else [])
+
+    # Faults, and what is asked.
+
+    def trouble(self, span: int) -> None:
+        """Everything at once for so long, never a majority of disks lost."""
+        chance, until, wiped = self.chance, self.now + span, 0
+        while self.now < until:
+            self.run(self.now + chance.choice((1, 3)) * SECOND // 2)
+            name, what = chance.choice(self.members), chance.randrange(8)
+            if what == 0:
+                self.pause(name, chance.randrange(7 * SECOND))
+            elif what == 1:
+                self.kill(name)
+                self.after(chance.randrange(4 * SECOND), self.start, name)
+            elif what == 2:
+                self.deaf.add((name, chance.choice(("in", "out"))))
+            elif what == 3:
+                self.deaf.clear()
+            elif what == 4:
+                self.loss = chance.choice((0.0, 0.2))
+            elif what == 5:
+                self.ill = {name} if chance.random() < 0.5 else set()
+            elif what == 6:
+                self.slow = chance.choice((1, 6 * SECOND))
+            elif not wiped and name in self.set:
+                wiped = 1
+                self.wipe(name)
+
+    def heal(self) -> None:
+        self.deaf.clear()
+        self.ill.clear()
+        self.paused.clear()
+        self.loss, self.slow = 0.0, 0
+        for name in self.members:
+            if name not in self.up:
+                self.start(name)
+
+    def pass_to(self, name: str, to: str) -> None:
+        self.post(name, self.candidates[name].pass_to(self.time(name), to))
+
+    def holders(self) -> list[str]:
+        """Who may act at this moment, by its own clock; one that stands still may not: it asks when it
+        wakes."""
+        return [name for name in self.up if self.candidates[name].holds(self.time(name)) is not None]
+
+    def epochs(self) -> int:
+        return max((act.epoch for act in self.acts if act.taken), default=0)
--- a/gullyoke/emulator/shares.py
+++ b/gullyoke/emulator/shares.py
@@ -109,7 +109,7 @@
             self.play.after(process.paused - self.play.now, lambda: self.read(lost))
         elif process.up and self in process.out:
             process.out.discard(self)
-            process.own.ended(process.now(), lost)
+            process.own.ended(process.now(), lost, not lost)
 
 
 class Play:
--- /dev/null
+++ b/gullyoke/features/charges.py
@@ -0,0 +1,392 @@
+"""What is done under a duty: one small unit each. A charge is called by the timer's thread while its duty is
+held here, with the epoch, and asks again after every wait."""
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from gullyoke.core import clock
+from gullyoke.core.book import log, pairs
+from gullyoke.duty import roll as rolls
+from gullyoke.duty.asking import Asking
+from gullyoke.duty.notices import Notice, Order
+from gullyoke.features.fleet import Fleet
+from gullyoke.members import Status
+from gullyoke.members.row import TURNS
+from gullyoke.operator.wanted import OwnDuty
+from gullyoke.peers.duties import Duties
+from gullyoke.port import Slots
+from gullyoke.together.fair import split
+
+YOUNG = 6_000_000                      # a notice counts for so long
+
+
+class Charge:
+    """Does nothing; a charge says otherwise. `name` is its duty's. `act` comes ten times a second while the
+    duty is held here and what was left by the last holder has been read; `idle` while it is not."""
+    name = ""
+
+    def __init__(self, fleet: Fleet, duties: Duties) -> None:
+        self.fleet, self.duties = fleet, duties
+
+    def act(self, now: int, epoch: int) -> None: ...
+
+    def idle(self, now: int) -> None: ...
+
+    def notice(self) -> bytes:
+        """What all members should know of it."""
+        return b""
+
+    def heard(self, now: int, notice: Notice) -> None: ...
+
+    def asked(self, now: int, words: list[str]) -> dict:
+        """An operator's command; asked at the holder."""
+        return {"fault": f"{self.name} takes no commands"}
+
+    def told(self, now: int) -> dict:
+        return {}
+
+
+class Gated:
+    """A `Slots` for the decisions: no call goes out to what is taken for dead but by whose turn it is."""
+
+    def __init__(self, slots: Slots, asking: Asking, holding: Callable[[int], bool]) -> None:
+        self.slots, self.asking, self.holding = slots, asking, holding
+        self.lock = threading.Lock()
+
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        return self.slots.share(now, told, spent)
+
+    def free(self, now: int, waiting: int) -> bool:
+        if not self.slots.free(now, waiting):
+            return False
+        if not self.asking.dead and self.asking.opened is None:
+            return True                               # the ordinary case costs no lock
+        held = self.holding(now) if self.asking.dead else False
+        with self.lock:
+            self.asking.hold(held)
+            return self.asking.may(now)
+
+    def until(self, now: int) -> float:
+        return self.slots.until(now)
+
+    def pace(self, now: int) -> float:
+        return self.slots.pace(now)
+
+    def began(self) -> None:
+        self.slots.began()
+
+    def ended(self, now: int, lost: bool, well: bool) -> None:
+        self.slots.ended(now, lost, well)
+        with self.lock:
+            self.asking.note(now, well)
+
+
+class Ask(Charge):
+    """One asks a dead dependency; the rest learn from its notices how it stands."""
+    name = "ask"
+
+    def __init__(self, fleet: Fleet, duties: Duties) -> None:
+        super().__init__(fleet, duties)
+        told = fleet.house.told
+        self.asking = Asking(random.Random(told.seed ^ 0xA5C).random)
+        below = told.facts.below
+        self.gate = below.slots = Gated(below.slots, self.asking,
+                                        lambda now: duties.holds(now, self.name) is not None)
+        self.was = False
+
+    def act(self, now: int, epoch: int) -> None:
+        if self.asking.dead != self.was:
+            self.was = self.asking.dead
+            self.fleet.house.book.add("duty.dependency_dead" if self.was else "duty.dependency_well")
+            log.warning("dependency", extra=pairs(dead=self.was, epoch=epoch))
+
+    def notice(self) -> bytes:
+        return b"dead" if self.asking.dead else b"well"
+
+    def heard(self, now: int, notice: Notice) -> None:
+        with self.gate.lock:
+            self.asking.told(now, notice.epoch, notice.body == b"dead")
+
+    def told(self, now: int) -> dict:
+        return {"dead": self.asking.dead, "tries": self.asking.asked}
+
+
+class Book(Charge):
+    """Lends what homes that ended had to lend. Their names are safe by their own majority; this duty only
+    sees to it that no two servers try, and tells all whom to ask."""
+    name = "book"
+
+    def __init__(self, fleet: Fleet, duties: Duties) -> None:
+        super().__init__(fleet, duties)
+        wanted = fleet.wanted.shares
+        self.shares = next(part for part in fleet.parts if type(part).__name__ == "Shares")
+        self.homes = wanted.homes
+        _, self.tokens = split(wanted.slots * self.shares.unit(), wanted.largest, wanted.homes,
+                               wanted.floor_share)
+        self.gone: tuple[str, ...] = ()
+
+    def act(self, now: int, epoch: int) -> None:
+        with self.fleet.link.lock:
+            there = {row.name for row in self.fleet.member.view.rows.values()}
+            sure = self.fleet.member.size(now).usable()
+        gone = tuple(sorted(home for home in self.homes if home not in there)) if sure else ()
+        self.lend(gone)
+
+    def lend(self, gone: tuple[str, ...]) -> None:
+        if gone != self.gone:
+            log.warning("book of shares", extra=pairs(lends_for=",".join(gone) or "-"))
+        self.gone = gone
+        shared = self.shares.shared
+        with shared.lock:
+            shared.own.sharing.take_over({home: self.tokens[home] for home in gone})
+
+    def idle(self, now: int) -> None:
+        if self.gone:
+            self.lend(())
+
+    def notice(self) -> bytes:
+        at = self.fleet.wanted.advertise
+        return json.dumps({home: at for home in self.gone}).encode()
+
+    def heard(self, now: int, notice: Notice) -> None:
+        """Who asks these homes asks whoever lends for them, for as long as the notice is young."""
+        try:
+            at = {str(home): str(where) for home, where in json.loads(notice.body or b"{}").items()}
+        except (ValueError, AttributeError):
+            return
+        self.shares.shared.stands_in = at, now + YOUNG
+
+    def told(self, now: int) -> dict:
+        return {"lends_for": list(self.gone)}
+
+
+class Roll(Charge):
+    """A rolling restart, kept by a majority at each step before anything follows from it."""
+    name = "roll"
+
+    def __init__(self, fleet: Fleet, duties: Duties) -> None:
+        super().__init__(fleet, duties)
+        self.plan, self.next, self.epoch = rolls.Plan(), 0, 0
+        self.since: dict[str, int] = {}               # when each member was last seen to come in or turn well
+        self.ordered: dict[str, int] = {}             # whom, and when the word last went out
+
+    def act(self, now: int, epoch: int) -> None:
+        register = self.duties.register(self.name)
+        if register is None or register.body is None:
+            return
+        if self.epoch != epoch:                       # taken over: what the last holder left
+            try:
+                self.plan = rolls.unpacked(register.body)
+            except (ValueError, TypeError, KeyError):
+                self.plan = rolls.Plan()
+                self.fleet.house.book.add("duty.roll_unreadable")
+            self.epoch = epoch
+            self.ordered.clear()
+        if not register.safe or now < self.next:
+            return
+        self.next = now + 300_000
+        plan = rolls.step(self.plan, now, self.seen(now), self.fleet.house.told.name)
+        if plan != self.plan:
+            self.take(plan, "step")
+            return                                    # what follows waits until that is kept
+        self.send(now, epoch)
+
+    def take(self, plan: rolls.Plan, why: str) -> None:
+        if plan.state != self.plan.state:
+            log.warning("roll", extra=pairs(number=plan.number, state=plan.state, why=plan.why or why))
+        self.plan = plan
+        register = self.duties.register(self.name)
+        if register is not None:
+            register.put(plan.pack())
+
+    def send(self, now: int, epoch: int) -> None:
+        """The word to go, again until it was heard: a server that has it does not act on it twice."""
+        if self.plan.state != "going":
+            return
+        starts = {one.name: one.start for one in self.seen(now).members}
+        me = self.fleet.house.told.name
+        for name, _, start in self.plan.doing:
+            if starts.get(name) != start or now - self.ordered.get(name, 0) < 1_000_000:
+                continue
+            self.ordered[name] = now
+            if self.duties.holds(clock.now(), self.name) != epoch:
+                return
+            if name == me:
+                self.drain(now, epoch)
+            else:
+                self.duties.order(self.name, epoch, name, "drain", str(start).encode())
+        for name in [n for n in self.ordered if n not in {row[0] for row in self.plan.doing}]:
+            del self.ordered[name]
+
+    def drain(self, now: int, epoch: int) -> None:
+        """This server's own turn: it leaves by the way that a notice to leave takes."""
+        self.fleet.house.book.add("duty.drained")
+        log.warning("roll: this server's turn", extra=pairs(epoch=epoch))
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def obey(self, now: int, order: Order) -> None:
+        """The conductor's word. It names the start that is meant, so that a word that comes late drains
+        nobody a second time."""
+        own = self.fleet.member.row.number // TURNS
+        meant = order.what == "drain" and order.body == str(own).encode()
+        if meant and self.fleet.house.desk.stop_at is None:
+            self.drain(now, order.epoch)
+
+    def seen(self, now: int) -> rolls.Fleet:
+        fleet = self.fleet
+        with fleet.link.lock:
+            one, told = fleet.member, fleet.link.signals.rows if fleet.link.signals is not None else {}
+            rows = list(one.view.rows.values())
+            states = {row.id: one.state(now, row) for row in rows}
+            readings = {who: reading for who, (_, _, reading) in told.items()}
+        members, sheds = [], []
+        for row in rows:
+            reading = readings.get(row.id)
+            there = states[row.id] == "alive"
+            calm = reading is None or reading.shed < 0.25
+            if not there:
+                self.since[row.name] = now
+            self.since.setdefault(row.name, now)
+            if reading is not None:
+                sheds.append(reading.shed)
+            members.append(rolls.Seen(row.name, row.zone, row.number // TURNS,
+                                      there and row.status is Status.ALIVE, self.since[row.name], calm))
+        names = {row.name for row in rows}
+        for name in [n for n in self.since if n not in names]:
+            del self.since[name]
+        sheds.sort()
+        return rolls.Fleet(tuple(members), sheds[len(sheds) // 2] if sheds else 0.0)
+
+    def asked(self, now: int, words: list[str]) -> dict:
+        register = self.duties.register(self.name)
+        if register is None or register.body is None:
+            return {"fault": "this server does not conduct"}
+        try:
+            if words[0] == "start":
+                at_once, a_zone = (float(x) for x in words[1:3])
+                plan = rolls.start(self.plan, self.seen(now), at_once, a_zone)
+            elif words[0] == "pause":
+                plan = rolls.pause(self.plan, "asked for")
+            elif words[0] == "resume":
+                plan = rolls.resume(self.plan, now, self.seen(now))
+            elif words[0] == "cancel":
+                plan = rolls.cancel(self.plan, "asked for")
+            else:
+                return {"fault": "right would be start, pause, resume or cancel"}
+        except (ValueError, IndexError) as fault:
+            return {"fault": str(fault)}
+        self.take(plan, words[0])
+        return {"plan": plan._asdict()}
+
+    def notice(self) -> bytes:
+        return self.plan.pack()
+
+    def heard(self, now: int, notice: Notice) -> None:
+        try:
+            self.plan = rolls.unpacked(notice.body)
+        except (ValueError, TypeError, KeyError):
+            self.fleet.house.book.add("duty.roll_unreadable")
+
+    def told(self, now: int) -> dict:
+        found = self.plan._asdict()
+        fleet = self.seen(now)
+        return found | {"left": [one.name for one in rolls.left(self.plan, fleet)]
+                        if self.plan.state in ("going", "paused", "stopped") else [],
+                        "members": len(fleet.members)}
+
+
+class Record(Charge):
+    """The fleet's record: a line for each change of its size and for each hand-over, in the holder's folder,
+    under the epoch. The count goes on with the next holder."""
+    name = "record"
+
+    def __init__(self, fleet: Fleet, duties: Duties, folder: str) -> None:
+        super().__init__(fleet, duties)
+        self.path, self.last, self.epoch, self.count = os.path.join(folder, "record.jsonl"), None, 0, 0
+        self.faults = 0
+
+    def act(self, now: int, epoch: int) -> None:
+        register = self.duties.register(self.name)
+        if register is None or register.body is None or not register.safe:
+            return
+        if self.epoch != epoch:
+            self.epoch = epoch
+            self.count = int(register.body or b"0") if (register.body or b"0").isdigit() else 0
+            self.write(now, {"what": "taken over"}, register)
+        with self.fleet.link.lock:
+            size, view = self.fleet.member.size(now), self.fleet.member.view
+            state = size.members, f"{view.digest:016x}"
+        if state != self.last:
+            self.last = state
+            row = {"what": "view", "members": state[0], "seen": size.seen, "digest": state[1]}
+            self.write(now, row, register)
+
+    def write(self, now: int, row: dict, register) -> None:
+        """One line, of 256 bytes at the most; the file is begun anew at 4 MiB."""
+        self.count += 1
+        try:
+            if os.path.exists(self.path) and os.path.getsize(self.path) > 2**22:
+                os.replace(self.path, self.path + ".1")
+            with open(self.path, "a", encoding="utf-8") as file:
+                file.write(json.dumps({"n": self.count, "epoch": self.epoch, "by": self.fleet.house.told.name,
+                                       "at": int(time.time()), **row}) + "\n")
+        except OSError as fault:
+            self.faults += 1
+            self.fleet.house.book.add("duty.record_faults")
+            if self.faults >= 3:                      # its disk fails: another may do better
+                self.faults = 0
+                self.duties.leave(self.name, f"its disk: {fault}", ill=True)
+            return
+        self.faults = 0
+        register.put(str(self.count).encode())
+
+    def told(self, now: int) -> dict:
+        return {"count": self.count}
+
+
+class Told(Charge):
+    """An application's own duty: the application is told that this server holds it, with the epoch, and is to
+    hold that against the newest it has seen."""
+
+    def __init__(self, fleet: Fleet, duties: Duties, wanted: OwnDuty) -> None:
+        super().__init__(fleet, duties)
+        self.name, self.wanted, self.next, self.faults, self.stale = wanted.name, wanted, 0, 0, 0
+        self.going = threading.Lock()
+
+    def act(self, now: int, epoch: int) -> None:
+        if now >= self.next and self.going.acquire(blocking=False):
+            self.next = now + self.wanted.every
+            threading.Thread(target=self.tell, args=(epoch,), name="duty", daemon=True).start()
+
+    def tell(self, epoch: int) -> None:
+        try:
+            with socket.create_connection(self.wanted.address, 1) as conn:
+                conn.settimeout(2)
+                now = clock.now()                     # asked again after the wait for the connection
+                if self.duties.holds(now, self.name) != epoch:
+                    return
+                left = self.duties.candidates[self.name].left(now) // 1000
+                conn.sendall(f"HOLD {self.name} {epoch} {self.duties.life} {left}\n".encode())
+                said = conn.recv(64).split(b"\n")[0].strip()
+            self.faults = 0
+            if said == b"STALE":
+                self.stale += 1
+                self.fleet.house.book.add("duty.told_stale")
+                self.duties.leave(self.name, "the application has seen a newer epoch")
+        except OSError as fault:
+            self.faults += 1
+            self.fleet.house.book.add("duty.untold")
+            if self.faults >= 3:                      # it fails here again and again: it moves on
+                self.faults = 0
+                self.duties.leave(self.name, f"the application: {fault}", ill=True)
+        except Exception:
+            self.fleet.house.book.fault("duty")
+        finally:
+            self.going.release()
--- /dev/null
+++ b/gullyoke/features/duties.py
@@ -0,0 +1,292 @@
+"""Duties of one on a fleet's membership: this server votes where it is a voter, tries for duties where it is
+well placed, and does what it holds."""
+from __future__ import annotations
+
+import os
+import random
+import threading
+import time
+
+from gullyoke.core import clock
+from gullyoke.core.book import log, pairs
+from gullyoke.duty.candidate import Candidate, Turn
+from gullyoke.duty.kept import Shelf
+from gullyoke.duty.notices import Notice, Order, Plea
+from gullyoke.duty.rank import Placed, after, order
+from gullyoke.duty.spans import Spans
+from gullyoke.duty.voter import Voter
+from gullyoke.features.charges import YOUNG, Ask, Book, Charge, Record, Roll, Told
+from gullyoke.features.fleet import Fleet
+from gullyoke.features.part import Part
+from gullyoke.members import Row, Status
+from gullyoke.members.entry import Stage
+from gullyoke.members.row import TURNS
+from gullyoke.operator.wanted import Dutied
+from gullyoke.options import Misstated
+from gullyoke.peers.duties import TOPIC, Duties, rows_in
+
+ACT = 100_000                          # microseconds between looks at what is held
+NOTICE = 2_000_000                     # and between notices of each duty
+FOLDER, QUOTA, OURS = "duties", 4 * 2**20, "voter"
+HISTORY = 64                           # turns of duties that are shown
+
+
+def ours(mark: bytes) -> tuple[str, int]:
+    """Whose folder it is, by the mark in it: name and set; nobody's for what is no mark."""
+    words = mark.decode("utf-8", "replace").split()
+    if len(words) != 2 or not words[1].isdigit():
+        return "", 0
+    return words[0], int(words[1])
+
+
+class Duty(Part):
+    """Table: `turns`, the last HISTORY changes of what is held here."""
+
+    def __init__(self, wanted: Dutied) -> None:
+        self.wanted, self.fleet, self.duties = wanted, None, None
+        self.charges: dict[str, Charge] = {}
+        self.turns: list[Turn] = []
+        self.noticed: dict[str, int] = {}
+        self.committer = self.files = None
+        self.ended, self.placed = False, []
+
+    def join(self, fleet: Fleet) -> None:
+        """Raises `Misstated` where this server is a voter and has no folder that it can use."""
+        name = fleet.house.told.name
+        at = self.wanted.voters.get(name)
+        if at == fleet.wanted.advertise and not self.wanted.folder:
+            raise Misstated(f"{fleet.path}: duties.folder: {name} is a voter; right would be the path of a "
+                            "folder on a disk that lasts")
+
+    def begin(self, fleet: Fleet) -> None:
+        wanted, told = self.wanted, fleet.house.told
+        self.fleet, row = fleet, fleet.member.row
+        spans = Spans(wanted.lease, wanted.drift, min(200_000, wanted.lease // 10))
+        voter, shelf = None, Shelf()
+        if wanted.voters.get(told.name) == fleet.wanted.advertise:
+            voter, shelf = self.voter(told.name, row, spans)
+        names = [name for name, on in (("ask", wanted.ask), ("book", wanted.book), ("roll", wanted.roll),
+                                       ("record", wanted.record)) if on] + [own.name for own in wanted.own]
+        chance = random.Random(told.seed ^ 0xD07)
+        candidates = {name: Candidate(name, told.name, row.life, wanted.voters, spans, chance.random,
+                                      wanted.set, lambda: int(time.time())) for name in names}
+        self.duties = Duties(told.name, row.life, voter, shelf, candidates, wanted.voters, fleet.taken,
+                             self.disk, fleet.house.book)
+        for name, one in candidates.items():
+            one.heed.append(lambda turn, name=name: self.turned(name, turn))
+        self.charges = {name: self.charge(name) for name in names}
+        link, duties = fleet.link, self.duties
+        duties.send = lambda posts: link.act(lambda: link.posted(TOPIC, posts))
+        duties.noticed, duties.ordered, duties.pleaded = self.heard, self.obey, self.pleaded
+        link.topics[TOPIC] = duties
+        link.told["duties"] = lambda now: {name: self.known(now, name)[0] for name in self.charges}
+        link.asked |= {"duties": self.asked_duties, "hand-over": self.asked_hand_over,
+                       "roll": self.asked_roll}
+        # A thread of its own: what is done under a duty may wait for a disk or a peer.
+        threading.Thread(target=self.run, name="duties", daemon=True).start()
+        log.info("duties", extra=pairs(
+            names=",".join(names) or "-", voters=len(wanted.voters), set=wanted.set,
+            votes=voter is not None, fresh=voter is not None and voter.fresh))
+
+    def charge(self, name: str) -> Charge:
+        made = {"ask": Ask, "book": Book, "roll": Roll}
+        if name in made:
+            return made[name](self.fleet, self.duties)
+        if name == "record":
+            return Record(self.fleet, self.duties, self.wanted.folder)
+        return Told(self.fleet, self.duties, next(own for own in self.wanted.own if own.name == name))
+
+    # The voter and its disk.
+
+    def voter(self, name: str, row: Row, spans: Spans) -> tuple[Voter, Shelf]:
+        """With what its folder has; a folder that is new, another's or can't be used makes it begin anew."""
+        from gullyoke.store import Committer, Disk, Store
+        rows, kept, number = None, {}, self.wanted.set
+        try:
+            self.files = Disk(os.path.join(self.wanted.folder, FOLDER))
+            store = Store(self.files, roll=2**16, quota=QUOTA)
+            found = dict(store.items())
+            whose, then = ours(found.pop(OURS, b""))
+            if whose == name and then <= number <= then + 1:
+                rows, kept = rows_in(found.items())
+            elif whose:
+                log.warning("promises of another not used", extra=pairs(whose=whose, set=then, here=number))
+            self.committer = Committer(store)
+            self.committer.put(OURS, f"{name} {number}".encode())
+        except (OSError, ValueError) as fault:
+            self.fleet.house.book.add("duty.unkept")
+            log.error("promises can't be kept", extra=pairs(folder=self.wanted.folder, why=fault))
+        others = [other for other in self.wanted.voters if other != name]
+        voter = Voter(clock.now(), name, row.life, others, spans, rows, number)
+        return voter, Shelf(kept)
+
+    def disk(self, key: str, data: bytes, told) -> bool:
+        return self.committer is not None and self.committer.put(key, data, told)
+
+    # Who tries.
+
+    def look(self, now: int) -> None:
+        fleet, me = self.fleet, self.fleet.house.told.name
+        with fleet.link.lock:
+            one = fleet.member
+            inside, leaving = one.entry.stage is Stage.IN, one.row.status is not Status.ALIVE
+            unsure = one.trust.unsure(now)
+            rows = [(row, one.state(now, row)) for row in one.view.rows.values()]
+            told = fleet.link.signals.rows if fleet.link.signals is not None else {}
+            rooms = {who: reading.room for who, (_, _, reading) in told.items()}
+        placed = [Placed(row.name, True, state in ("alive", "joining"), row.status is Status.LEAVING,
+                         rooms.get(row.id, 1.0)) for row, state in rows if row.status is not Status.JOINING]
+        self.placed = placed
+        with self.duties.lock:
+            for name, candidate in self.duties.candidates.items():
+                wait = after(name, me, placed)
+                ready = inside and not leaving and not unsure and candidate.ill <= now
+                candidate.wants = ready and wait is not None
+                candidate.after = wait or 0
+
+    def turned(self, name: str, turn: Turn) -> None:
+        """Called under the duties' lock."""
+        self.turns = [*self.turns[-HISTORY + 1:], turn]
+        self.fleet.house.book.add(f"duty.{turn.what}")
+        log.warning("duty", extra=pairs(duty=name, what=turn.what, epoch=turn.epoch, why=turn.why))
+
+    # What is held.
+
+    def run(self) -> None:
+        while not self.ended:
+            time.sleep(ACT / 1e6)
+            try:
+                self.act()
+            except Exception:                         # an error of our own ends one look, not the thread
+                self.fleet.house.book.fault("duties")
+
+    def act(self) -> None:
+        now = clock.now()
+        for name, charge in self.charges.items():
+            epoch = self.duties.holds(clock.now(), name)
+            if epoch is None:
+                charge.idle(now)
+                continue
+            charge.act(clock.now(), epoch)
+            register = self.duties.register(name)
+            if now - self.noticed.get(name, 0) >= NOTICE and register is not None and register.safe \
+                    and self.duties.holds(clock.now(), name) == epoch:
+                self.noticed[name] = now
+                with self.fleet.link.lock:
+                    one = self.fleet.member
+                    others = [row.address for row in one.view.rows.values() if row.id != one.id]
+                self.duties.notice(name, epoch, charge.notice(), others)
+
+    def heard(self, now: int, notice: Notice) -> None:
+        charge = self.charges.get(notice.duty)
+        if charge is not None and self.duties.holds(now, notice.duty) is None:
+            charge.heard(now, notice)
+
+    def obey(self, now: int, order: Order) -> None:
+        charge = self.charges.get(order.duty)
+        if isinstance(charge, Roll):
+            charge.obey(now, order)
+
+    def pleaded(self, now: int, plea: Plea) -> None:
+        """What an operator asked of another server, for the holder. Not on the link's thread: it takes
+        locks."""
+        words = plea.what.split()[:8]
+        if words and plea.duty in self.charges:
+            threading.Thread(target=self.command, args=(plea.duty, words), daemon=True).start()
+
+    def command(self, duty: str, words: list[str]) -> dict:
+        if words[0] == "hand-over":
+            return self.hand_over(duty, words[1] if len(words) > 1 else "")
+        if self.duties.holds(clock.now(), duty) is None:
+            return {"fault": "not held here"}
+        return self.charges[duty].asked(clock.now(), words)
+
+    # Letting go.
+
+    def next(self, duty: str) -> str:
+        """Who is best placed but this one."""
+        me = self.fleet.house.told.name
+        ranked = order(duty, [one for one in self.placed if one.name != me])
+        return ranked[0] if ranked else ""
+
+    def hand_over(self, duty: str, to: str = "") -> dict:
+        to = to or self.next(duty)
+        if not to or not self.duties.hand_over(duty, to):
+            return {"fault": f"{duty} is not held here, or there is nobody else"}
+        return {"duty": duty, "to": to}
+
+    def leave(self) -> None:
+        """Before a drain each duty goes to whom it is best placed at."""
+        for name in self.charges:
+            if self.duties.holds(clock.now(), name) is not None:
+                self.hand_over(name)
+
+    def end(self) -> None:
+        self.ended = True
+        for name in self.charges:
+            self.duties.leave(name, "the server ends")
+        if self.committer is not None:
+            self.committer.close()
+            self.files.close()
+
+    # What an operator asks.
+
+    def known(self, now: int, name: str) -> tuple[str, int]:
+        """Who holds a duty as far as is known here, and the newest epoch."""
+        one, known = self.duties.candidates[name], self.duties.board.rows.get(name)
+        epoch = self.duties.holds(now, name)
+        if epoch is not None:
+            return self.fleet.house.told.name, epoch
+        if known is None:
+            return "", one.top
+        return known.notice.name if now - known.at < YOUNG else "", known.notice.epoch
+
+    def holder(self, now: int, name: str) -> dict:
+        one, (holder, epoch) = self.duties.candidates[name], self.known(now, name)
+        return {"holder": holder, "epoch": epoch, "left_ms": one.left(now) // 1000, "state": one.state.value,
+                **self.charges[name].told(now)}
+
+    def asked_duties(self, words: list[str]) -> dict:
+        now, voter = clock.now(), self.duties.voter
+        found = {name: self.holder(now, name) for name in self.charges}
+        with self.duties.lock:
+            vote = None if voter is None else {
+                "speaks": voter.speaks(now), "fresh": voter.fresh, "disk_well": voter.well,
+                "refused": voter.refused, "set": voter.voters,
+                "promised": {duty: [row.epoch, row.name] for duty, row in sorted(voter.rows.items())}}
+            turns = [{"ago_ms": (now - t.at) // 1000, **t._asdict()} for t in self.turns]
+        return {"name": self.fleet.house.told.name, "duties": found, "votes": vote, "turns": turns,
+                "stale_refused": self.duties.fence.refused,
+                "started": self.fleet.member.row.number // TURNS}
+
+    def asked_hand_over(self, words: list[str]) -> dict:
+        if not words or words[0] not in self.charges:
+            return {"fault": f"right would be one of {', '.join(self.charges)}"}
+        return self.passed_on(words[0], ["hand-over", *words[1:2]])
+
+    def asked_roll(self, words: list[str]) -> dict:
+        if "roll" not in self.charges:
+            return {"fault": "duties.roll is off in the operator's file"}
+        if words[:1] == ["status"]:
+            return self.holder(clock.now(), "roll")
+        return self.passed_on("roll", words)
+
+    def passed_on(self, duty: str, words: list[str]) -> dict:
+        """Done here, or sent to whoever holds it."""
+        now = clock.now()
+        if self.duties.holds(now, duty) is not None:
+            return self.command(duty, words)
+        holder = self.holder(now, duty)["holder"]
+        if not holder:
+            return {"fault": f"nobody is known to hold {duty}"}
+        self.duties.plead(duty, " ".join(words), holder)
+        return {"sent_to": holder}
+
+    def print(self) -> None:
+        now = clock.now()
+        for name in self.charges:
+            log.info("duty stands", extra=pairs(duty=name, **{
+                key: value for key, value in self.holder(now, name).items()
+                if key in ("holder", "epoch", "left_ms", "state")}))
+
+
--- a/gullyoke/features/file.py
+++ b/gullyoke/features/file.py
@@ -60,7 +60,7 @@
 
 
 PARTS = {"ways": "ways", "classed": "classed", "kept": "kept", "backends": "pool",
-         "fleet": "fleet"}             # their names in the log, and what is read
+         "fleet": "fleet", "duties": "duties"}             # their names in the log, and what is read
 
 
 def made(path: str, wanted: Wanted) -> list[Unit]:
@@ -77,5 +77,5 @@
         units.append(Memory(wanted.kept))
     if wanted.fleet is not None:
         from gullyoke.features.fleet import Fleet
-        units.append(Fleet(path, wanted.fleet, wanted.kept, wanted.pool))
+        units.append(Fleet(path, wanted.fleet, wanted.kept, wanted.pool, wanted.duties))
     return units
--- a/gullyoke/features/fleet.py
+++ b/gullyoke/features/fleet.py
@@ -14,7 +14,7 @@
 from gullyoke.features.unit import Plain
 from gullyoke.members import Change, Member, Row, Status, began
 from gullyoke.members.row import identity
-from gullyoke.operator.wanted import Kept, Pooled, Together, Wanted
+from gullyoke.operator.wanted import Dutied, Kept, Pooled, Together, Wanted
 from gullyoke.options import Misstated
 from gullyoke.peers.ask import Answers
 from gullyoke.peers.kept import Number
@@ -29,7 +29,8 @@
 class Fleet(Plain):
     name = part = "fleet"
 
-    def __init__(self, path: str, wanted: Together, kept: Kept | None, pool: Pooled | None = None) -> None:
+    def __init__(self, path: str, wanted: Together, kept: Kept | None, pool: Pooled | None = None,
+                 duties: Dutied | None = None) -> None:
         super().__init__(wanted)
         self.path, self.wanted, self.kept = path, wanted, kept
         self.house: House | None = None
@@ -38,7 +39,7 @@
         self.number: Number | None = None
         self.told = self.size = 0
         self.read: tuple[bytes, ...] = ()             # the keys of a file that is about to be taken over
-        self.parts: list[Part] = made(wanted, pool)
+        self.parts: list[Part] = made(wanted, pool, duties)
 
     def held(self) -> int:
         return DESCRIPTORS
@@ -157,7 +158,7 @@
                 and getattr(self.wanted, name) != getattr(new.fleet, name)]
 
 
-def made(wanted: Together, pool: Pooled | None) -> list[Part]:
+def made(wanted: Together, pool: Pooled | None, duties: Dutied | None) -> list[Part]:
     """The parts that the file asks for."""
     parts: list[Part] = []
     if wanted.signals:
@@ -169,4 +170,7 @@
     if pool is not None:
         from gullyoke.features.subsets import Subsets
         parts.append(Subsets(pool.subset))
+    if duties is not None:
+        from gullyoke.features.duties import Duty
+        parts.append(Duty(duties))
     return parts
--- a/gullyoke/features/shares.py
+++ b/gullyoke/features/shares.py
@@ -19,6 +19,10 @@
     def __init__(self, wanted: Slotted) -> None:
         self.wanted, self.shared, self.in_force = wanted, None, -1
 
+    def unit(self) -> int:
+        """Tokens of a slot: a limit on the mean is lent in parts of a call."""
+        return UNIT if self.wanted.mean else 1
+
     def join(self, fleet: Fleet) -> None:
         """Raises `Misstated` where there is nothing below that could be shared."""
         below = fleet.house.told.facts.below
@@ -31,8 +35,7 @@
     def begin(self, fleet: Fleet) -> None:
         wanted, told, member = self.wanted, fleet.house.told, fleet.member
         below = told.facts.below
-        # A limit on the mean is lent in parts of a call, and what was used counts for its span.
-        unit, after = (UNIT, below.span) if wanted.mean else (1, 0)
+        unit, after = self.unit(), below.span if wanted.mean else 0
         floor, tokens = split(wanted.slots * unit, wanted.largest, wanted.homes, wanted.floor_share)
         home = told.name if told.name in wanted.homes else None
         votes = home is not None and wanted.homes[home] == fleet.wanted.advertise
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -11,8 +11,10 @@
     Address,
     BackEnd,
     Classed,
+    Dutied,
     Ejecting,
     Kept,
+    OwnDuty,
     Pooled,
     Slotted,
     Together,
@@ -65,6 +67,8 @@
         names.add(home.name)
     if homes and len(homes) % 2 == 0:
         yield "fleet.shares.home", f"{len(homes)} of them; right would be an odd number"
+    if found.HasField("duties"):
+        yield from faults_of_duties(found)
     if found.backends.subset and not found.HasField("fleet"):
         yield "backends.subset", "there is no fleet to choose by; right would be fleet { ... } as well"
     eject = found.backends.ejection
@@ -74,6 +78,25 @@
                f"{eject.longest_out_ms} is under first_out_ms; right would be {first} or more")
 
 
+def faults_of_duties(found: schema.Operator) -> Iterator[tuple[str, str]]:
+    duties, names = found.duties, set()
+    if not found.HasField("fleet"):
+        yield "duties", "there is no fleet; right would be fleet { ... } as well"
+    for i, voter in enumerate(duties.voter):
+        if voter.name in names:
+            yield f"duties.voter[{i}].name", f"{voter.name!r} stands twice; right would be once"
+        names.add(voter.name)
+    if duties.book and not found.fleet.HasField("shares"):
+        yield "duties.book", "there are no shares; right would be fleet.shares { ... } as well"
+    if duties.record and not duties.folder:
+        yield "duties.record", "it needs a folder; right would be duties.folder as well"
+    taken = {"ask", "book", "roll", "record"}
+    for i, duty in enumerate(duties.duty):
+        if duty.name in taken:
+            yield f"duties.duty[{i}].name", f"{duty.name!r} is taken; right would be a name of its own"
+        taken.add(duty.name)
+
+
 # In the program's own words, with what stands where nothing is said.
 
 def address(text: str) -> Address:
@@ -101,8 +124,9 @@
         quota = found.store.quota_mb if found.store.HasField("quota_mb") else 16
         kept = Kept(found.store.folder, quota * 2**20)
     fleet = together(found.fleet) if found.HasField("fleet") else None
+    duties = dutied(found.duties) if found.HasField("duties") else None
     if not found.HasField("backends"):
-        return Wanted(json_log, ways, None, classed, kept, fleet)
+        return Wanted(json_log, ways, None, classed, kept, fleet, duties)
     told, eject = found.backends, found.backends.ejection
 
     def said(message: Message, name: str, default):
@@ -119,7 +143,7 @@
     return Wanted(json_log, ways, Pooled(
         back_ends, said(told, "linger_ms", 2000) * 1000, told.stops_on_close,
         said(told, "answer_kb", 64) * 1024, said(told, "first_limit", 8), said(told, "retry_share", 0.1),
-        said(told, "retry_burst", 10.0), ejecting, told.subset), classed, kept, fleet)
+        said(told, "retry_burst", 10.0), ejecting, told.subset), classed, kept, fleet, duties)
 
 
 def together(found: schema.Fleet) -> Together:
@@ -129,6 +153,16 @@
                     shared(found.shares) if found.HasField("shares") else None)
 
 
+def dutied(found: schema.Duties) -> Dutied:
+    def said(name: str, default: int) -> int:
+        return getattr(found, name) if found.HasField(name) else default
+
+    own = tuple(OwnDuty(d.name, address(d.address), (d.every_ms if d.HasField("every_ms") else 500) * 1000)
+                for d in found.duty)
+    return Dutied({v.name: v.address for v in found.voter}, said("set", 1), said("lease_ms", 3000) * 1000,
+                  said("drift_ppm", 1000), found.folder, found.ask, found.book, found.roll, found.record, own)
+
+
 def shared(found: schema.Shares) -> Slotted:
     return Slotted({home.name: home.address for home in found.home}, found.slots, found.largest,
                   found.floor_share if found.HasField("floor_share") else 0.25,
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -95,6 +95,28 @@
     shares: Slotted | None = None
 
 
+class OwnDuty(NamedTuple):
+    """An application's own duty, and how often it is told of holding it, in microseconds."""
+    name: str
+    address: tuple[str, int]
+    every: int
+
+
+class Dutied(NamedTuple):
+    """Duties of one: the voters' addresses by name, the number of their set, the lease and how far clocks may
+    run apart, where promises are kept, and which duties there are."""
+    voters: dict[str, str]
+    set: int
+    lease: int
+    drift: int
+    folder: str
+    ask: bool
+    book: bool
+    roll: bool
+    record: bool
+    own: tuple[OwnDuty, ...]
+
+
 class Wanted(NamedTuple):
     """All of it."""
     json_log: bool
@@ -103,3 +125,4 @@
     classed: Classed | None = None
     kept: Kept | None = None
     fleet: Together | None = None
+    duties: Dutied | None = None
--- a/gullyoke/peers/ask.py
+++ b/gullyoke/peers/ask.py
@@ -11,7 +11,7 @@
 from gullyoke.members.row import TURNS
 from gullyoke.peers.link import Link
 
-PATIENCE, LINE = 1.0, 64               # seconds for a whole question, and its bytes
+PATIENCE, LINE = 1.0, 256              # seconds for a whole question, and its bytes
 
 
 class Answers(threading.Thread):
@@ -46,9 +46,12 @@
             if not more:
                 return
             line += more
-        asked = line.partition(b"\n")[0].strip()
-        with self.link.lock:
-            found = {b"status": status, b"events": events}.get(asked, unknown)(self.link)
+        asked, *words = line.partition(b"\n")[0].decode("latin-1").split() or [""]
+        if asked in self.link.asked:                  # another part's: it takes what locks it needs
+            found = self.link.asked[asked](words)
+        else:
+            with self.link.lock:
+                found = {"status": status, "events": events}.get(asked, unknown)(self.link)
         conn.sendall(msgspec.json.encode(found) + b"\n")
 
     def end(self) -> None:
--- /dev/null
+++ b/gullyoke/peers/duties.py
@@ -0,0 +1,279 @@
+"""Duties on the members' datagrams: letters as bytes, promises through the disk, and one lock.
+
+A body is a MessagePack array of a kind and its fields; what another release appends is passed over. An answer
+that rests on a promise goes out once the disk has it, told by the thread that wrote it."""
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from gullyoke.core import clock
+from gullyoke.core.book import Book
+from gullyoke.duty.candidate import Candidate
+from gullyoke.duty.candidate import Post as Said_to
+from gullyoke.duty.fence import Fence
+from gullyoke.duty.kept import Fetch, Fetched, Keep, Kept, Register, Shelf
+from gullyoke.duty.notices import Board, Notice, Order, Plea
+from gullyoke.duty.voter import Row, Voter, Write
+from gullyoke.duty.words import Ask, Done, Learn, Learned, Pass, Ready, Said, Sound
+from gullyoke.members.row import Row as Member
+from gullyoke.peers.codec import Malformed
+from gullyoke.peers.link import Post
+
+TOPIC = 2
+KINDS = (Sound, Ask, Said, Done, Pass, Ready, Learn, Learned, Keep, Kept, Fetch, Fetched, Notice, Order, Plea)
+TO_VOTERS = (Sound, Ask, Done, Learn, Learned, Keep, Fetch)
+AGAIN = 250_000                        # microseconds between askings of a register that was not answered
+FAN = 64                               # notices in one turn
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(tuple[int, list]).decode
+
+Disk = Callable[[str, bytes, Callable[[bool], None]], bool]
+
+
+def pack(message: tuple) -> bytes:
+    return encode((KINDS.index(type(message)), tuple(message)))
+
+
+def unpack(body: bytes) -> tuple:
+    """The message that a body holds. Raises `Malformed`."""
+    try:
+        kind, fields = decode(body)
+        if not 0 <= kind < len(KINDS):
+            raise Malformed(f"a duty's letter of kind {kind}")
+        made = KINDS[kind]
+        message = msgspec.convert(fields[:len(made._fields)], made)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+        raise Malformed(str(fault)) from None
+    if any(type(x) is int and not 0 <= x < 2**64 for x in message):
+        raise Malformed("a figure out of bounds")
+    return message
+
+
+def row_bytes(row: Row) -> bytes:
+    return encode(tuple(row))
+
+
+def rows_in(items: Iterable[tuple[str, bytes]]) -> tuple[dict[str, Row], dict[str, tuple[int, int, bytes]]]:
+    """The promises and what is kept, as a disk has them."""
+    promised: dict[str, Row] = {}
+    kept: dict[str, tuple[int, int, bytes]] = {}
+    for key, value in items:
+        kind, _, duty = key.partition(" ")
+        if kind == "promise":
+            promised[duty] = Row(*msgspec.msgpack.decode(value, type=tuple[int, int, str]))
+        elif kind == "kept":
+            kept[duty] = msgspec.msgpack.decode(value, type=tuple[int, int, bytes])
+    return promised, kept
+
+
+class Duties:
+    """A `Topic`. `voters`: stated addresses by name; `taken`: the address of whom the view takes for a name;
+    `members`: all addresses of the view but one's own; `disk` makes a record durable and tells; `send` sends
+    from a thread that is not the link's. Tables: `registers`, one a duty that is held here; `fan`, addresses
+    that are still to hear a notice, filled anew each time."""
+
+    def __init__(self, name: str, life: int, voter: Voter | None, shelf: Shelf,
+                 candidates: Mapping[str, Candidate], voters: Mapping[str, str],
+                 taken: Callable[[str], str | None], disk: Disk, book: Book) -> None:
+        self.name, self.life, self.voter, self.shelf = name, life, voter, shelf
+        self.candidates, self.voters, self.taken = dict(candidates), dict(voters), taken
+        self.disk, self.book, self.fence, self.board = disk, book, Fence(), Board()
+        self.lock = threading.RLock()
+        self.send: Callable[[list[Post]], None] = lambda posts: None
+        self.registers: dict[str, tuple[Register, int]] = {}
+        self.fan: list[tuple[str, bytes]] = []
+        self.noticed: Callable[[int, Notice], None] = lambda now, notice: None
+        self.ordered: Callable[[int, Order], None] = lambda now, order: None
+        self.pleaded: Callable[[int, Plea], None] = lambda now, plea: None
+        for duty, one in self.candidates.items():
+            one.heed.append(lambda turn, duty=duty: self._turned(duty, turn.what))
+
+    # For the link.
+
+    def turn(self, now: int) -> list[Post]:
+        with self.lock:
+            posts: list[Post] = []
+            if self.voter is not None and (learn := self.voter.learns(now)) is not None:
+                posts += self._posted(Said_to(name, learn) for name in sorted(self.voter.others))
+            for one in self.candidates.values():
+                posts += self._posted(one.tick(now))
+            posts += self._registers(now)
+            out, self.fan = self.fan[:FAN], self.fan[FAN:]
+            return posts + out
+
+    def hear(self, now: int, sender: Member, body: bytes) -> Iterable[Post]:
+        message = unpack(body)
+        if isinstance(message, Notice | Order | Plea):
+            return self._told(now, message)
+        with self.lock:
+            if isinstance(message, TO_VOTERS):
+                answer = self._vote(now, sender, message) if self.voter is not None else None
+                return [(sender.address, pack(answer))] if answer is not None else ()
+            return self._posted(self._answered(now, sender, message))
+
+    def _vote(self, now: int, sender: Member, message: tuple) -> tuple | None:
+        voter = self.voter
+        if isinstance(message, Sound):
+            return voter.sound(now, message)
+        if isinstance(message, Ask):
+            answer = voter.ask(now, message)
+            if isinstance(answer, Write):
+                self._write(answer, sender.address)
+                return None
+            return answer
+        if isinstance(message, Done):
+            voter.done(now, message)
+        elif isinstance(message, Learn):
+            return voter.teach(now, message)
+        elif isinstance(message, Learned):
+            self._learn(now, message)
+        elif isinstance(message, Fetch):
+            return self.shelf.fetched(message, self.voter.name) if not voter.fresh else None
+        elif isinstance(message, Keep):
+            return self._keep(message, sender.address)
+        return None
+
+    def _answered(self, now: int, sender: Member, message: tuple) -> list[Said_to]:
+        if isinstance(message, Kept | Fetched):
+            register = self.registers.get(message.duty)
+            if register is not None:
+                (register[0].kept if isinstance(message, Kept) else register[0].fetched)(message)
+            return []
+        one = self.candidates.get(message.duty)
+        if one is None:
+            return []
+        if isinstance(message, Said):                 # a vote counts from the voter's stated address alone
+            return one.hear(now, message) if self.voters.get(message.by) == sender.address else []
+        if isinstance(message, Pass):
+            return one.passed(now, sender.name, message)
+        return one.ready(now, sender.name, message) if isinstance(message, Ready) else []
+
+    # Through the disk.
+
+    def _write(self, write: Write, asker: str) -> None:
+        def told(durable: bool) -> None:
+            with self.lock:
+                said = self.voter.written(clock.now(), write, durable)
+            self.book.add("duty.promised" if durable else "duty.unpromised")
+            if said is not None:
+                self.send([(asker, pack(said))])
+
+        if not self.disk(f"promise {write.duty}", row_bytes(write.row), told):
+            self.voter.written(clock.now(), write, False)
+
+    def _learn(self, now: int, message: Learned) -> None:
+        writes = self.voter.learned(now, message)
+        left = len(writes)
+
+        def told(durable: bool, write: Write) -> None:
+            nonlocal left
+            with self.lock:
+                left -= durable
+                if durable:
+                    self.voter.taken(write, left == 0)
+
+        for write in writes:
+            self.disk(f"promise {write.duty}", row_bytes(write.row),
+                      lambda durable, write=write: told(durable, write))
+
+    def _keep(self, keep: Keep, asker: str) -> Kept | None:
+        row = self.voter.rows.get(keep.duty)
+        if self.voter.fresh or not self.shelf.fits(keep, row.epoch if row else 0):
+            return self.shelf.said(keep, self.voter.name) if not self.voter.fresh else None
+        kept = keep.epoch, keep.count, keep.body
+
+        def told(durable: bool) -> None:
+            with self.lock:
+                if durable:
+                    self.shelf.rows[keep.duty] = max(kept, self.shelf.rows.get(keep.duty, (0, 0, b"")))
+                said = self.shelf.said(keep, self.voter.name)
+            self.send([(asker, pack(said))])
+
+        self.disk(f"kept {keep.duty}", encode(kept), told)
+        return None
+
+    # What is held here.
+
+    def _turned(self, duty: str, what: str) -> None:
+        one = self.candidates[duty]
+        if what == "held":
+            self.registers[duty] = Register(duty, self.life, one.epoch, self.voters), 0
+        else:
+            self.registers.pop(duty, None)
+
+    def _registers(self, now: int) -> list[Post]:
+        posts: list[Post] = []
+        for duty, (register, next_) in self.registers.items():
+            if not register.safe and now >= next_:
+                self.registers[duty] = register, now + AGAIN
+                posts += self._posted(Said_to(voter, register.asks()) for voter in sorted(self.voters))
+        return posts
+
+    def register(self, duty: str) -> Register | None:
+        found = self.registers.get(duty)
+        return found[0] if found else None
+
+    def holds(self, now: int, duty: str) -> int | None:
+        """The epoch under which this process may act now. Asked after every wait."""
+        with self.lock:
+            one = self.candidates.get(duty)
+            return one.holds(now) if one else None
+
+    def leave(self, duty: str, why: str, to: str = "", ill: bool = False) -> None:
+        with self.lock:
+            posts = self._posted(self.candidates[duty].leave(clock.now(), why, to, ill))
+        self.send(posts)
+
+    def hand_over(self, duty: str, to: str) -> bool:
+        """Whether it is held here, and another is asked to take it."""
+        with self.lock:
+            posts = self._posted(self.candidates[duty].pass_to(clock.now(), to))
+        self.send(posts)
+        return bool(posts)
+
+    # Notices, orders, pleas.
+
+    def notice(self, duty: str, epoch: int, body: bytes, members: Iterable[str]) -> None:
+        """To all, a few each turn."""
+        data = pack(Notice(duty, epoch, self.life, self.name, body))
+        with self.lock:
+            if len(self.fan) < 4096:
+                self.fan += [(address, data) for address in members]
+            self.board.take(clock.now(), Notice(duty, epoch, self.life, self.name, body))
+
+    def order(self, duty: str, epoch: int, to: str, what: str, body: bytes) -> None:
+        address = self.taken(to)
+        if address:
+            self.send([(address, pack(Order(duty, epoch, self.life, what, body)))])
+
+    def plead(self, duty: str, what: str, to: str) -> None:
+        address = self.taken(to)
+        if address:
+            self.send([(address, pack(Plea(duty, what)))])
+
+    def _told(self, now: int, message: Notice | Order | Plea) -> tuple:
+        if isinstance(message, Plea):
+            self.pleaded(now, message)
+            return ()
+        with self.lock:
+            if not self.fence.admits(message.duty, message.epoch, message.life):
+                self.book.add("duty.stale_refused")
+                return ()
+            news = not isinstance(message, Notice) or self.board.take(now, message)
+        if isinstance(message, Order):
+            self.ordered(now, message)
+        elif news:
+            self.noticed(now, message)
+        return ()
+
+    def _posted(self, posts: Iterable[Said_to]) -> list[Post]:
+        """A voter is at its stated address; whoever else, where the view has it."""
+        out: list[Post] = []
+        for to, message in posts:
+            address = self.voters.get(to) if isinstance(message, TO_VOTERS) else self.taken(to)
+            if address:
+                out.append((address, pack(message)))
+        return out
--- a/gullyoke/peers/link.py
+++ b/gullyoke/peers/link.py
@@ -23,6 +23,7 @@
 TELLS = getattr(socket, "IP_RECVERR", 11)      # Linux: what other machines refuse is told on this socket
 TOLD = getattr(socket, "MSG_ERRQUEUE", 0x2000)
 BURST = 256                            # datagrams heard in one turn, so that turns come in time
+TRIES = 4                              # to send one where others were refused meanwhile
 KNOWN = 4096                           # addresses that are kept in the system's form
 
 
@@ -40,7 +41,8 @@
 
 class Link(threading.Thread):
     """Tables: `known`, addresses in the system's form, emptied when there are KNOWN; `topics`, by number, who
-    else sends by this; `told`, what else `fleet status` says, by name."""
+    else sends by this; `told`, what else `fleet status` says, and `asked`, what else can be asked there, by
+    name."""
 
     def __init__(self, listen: tuple[str, int], seal: Seal, book: Book) -> None:
         """Raises `OSError` where it can't listen there."""
@@ -58,6 +60,7 @@
         self.signals = None                           # what others told of how they stand, if wanted
         self.topics: dict[int, Topic] = {}
         self.told: dict[str, Callable[[int], object]] = {}
+        self.asked: dict[str, Callable[[list[str]], dict]] = {}
         self.lock = threading.Lock()
         self.known: dict[str, tuple[str, int]] = {}
         self.due, self.ended = 0, threading.Event()
@@ -147,13 +150,20 @@
         if len(data) > codec.LONGEST:
             self.book.add("peers.too_long")
             return
-        try:
-            self.sock.sendto(data, self.system(send.address))
-            self.book.add("peers.sent")
-        except OSError as fault:
-            self.book.add("peers.unsent")
-            if fault.errno == errno.ECONNREFUSED:     # an earlier one's: this one was not sent
+        # Guards against what an earlier datagram met, which comes up at this one's sending: taken note of,
+        # and
+
+        # this one is sent again. Without that whoever is named after one that is gone would hear nothing.
+        for _ in range(TRIES):
+            try:
+                self.sock.sendto(data, self.system(send.address))
+                self.book.add("peers.sent")
+                return
+            except OSError as fault:
+                if fault.errno != errno.ECONNREFUSED:
+                    break
                 self.refusals()
+        self.book.add("peers.unsent")
 
     def system(self, address: str) -> tuple[str, int]:
         found = self.known.get(address)
--- a/gullyoke/peers/sharing.py
+++ b/gullyoke/peers/sharing.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from gullyoke.core import clock
 from gullyoke.members.row import Row, whole
 from gullyoke.peers.codec import Malformed
 from gullyoke.peers.link import Post
@@ -60,6 +61,7 @@
         self.own, self.homes, self.digest, self.taken = own, dict(homes), digest, taken
         self.lock = threading.Lock()
         self.others = 0                               # letters of a fleet stated otherwise
+        self.stands_in: tuple[dict[str, str], int] = {}, 0    # who lends for homes that ended, and until when
 
     # For the decisions.
 
@@ -83,9 +85,9 @@
         with self.lock:
             self.own.began()
 
-    def ended(self, now: int, lost: bool) -> None:
+    def ended(self, now: int, lost: bool, well: bool) -> None:
         with self.lock:
-            self.own.ended(now, lost)
+            self.own.ended(now, lost, well)
 
     # For the link.
 
@@ -107,10 +109,12 @@
         return self.post(letter, sender.address) if letter is not None else ()
 
     def post(self, letter: Letter, asker: str) -> list[Post]:
-        """A lender is whoever is taken for that home, a voter whoever is at its stated address."""
-        stated_at = self.homes.get(letter.home, "")
-        to = asker if letter.to == ASKER else \
-            self.taken(letter.home) or stated_at if letter.to == LENDER else stated_at
+        """A lender is whoever is taken for that home, or stands in for it; a voter, whoever is at its stated
+        address."""
+        stated_at, (instead, until) = self.homes.get(letter.home, ""), self.stands_in
+        to = asker if letter.to == ASKER else stated_at
+        if letter.to == LENDER:
+            to = self.taken(letter.home) or (clock.now() < until and instead.get(letter.home)) or stated_at
         return [(to, pack(self.digest, letter.message))] if to else []
 
     def told(self, now: int) -> dict[str, object]:
--- a/gullyoke/port/beside.py
+++ b/gullyoke/port/beside.py
@@ -24,8 +24,8 @@
 
     def began(self) -> None: ...
 
-    def ended(self, now: int, lost: bool) -> None:
-        """`lost`: it may stay in the dependency's hands for the stated linger."""
+    def ended(self, now: int, lost: bool, well: bool) -> None:
+        """`lost`: it may stay in the dependency's hands for the stated linger; `well`: it was answered."""
 
 
 class Beside(Protocol):
@@ -56,7 +56,7 @@
 
     def began(self) -> None: ...
 
-    def ended(self, now: int, lost: bool) -> None: ...
+    def ended(self, now: int, lost: bool, well: bool) -> None: ...
 
 
 class Alone:
--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -11,9 +11,10 @@
 from typing import NamedTuple
 
 from gullyoke.emulator.day import Machines, drawn
+from gullyoke.rig import history
 from gullyoke.rig.faults import Faults
 from gullyoke.rig.load import WORK, Load
-from gullyoke.rig.processes import Process, Shared, text
+from gullyoke.rig.processes import DUTY, Process, Shared, text
 from gullyoke.rig.relay import Relay
 from gullyoke.rig.script import Script, Step
 
@@ -77,6 +78,8 @@
         self.happened: list[tuple[float, str]] = []
         self.want: dict[str, tuple[int, int, float | None]] = {}
         self.starved = 0.0
+        # the last known holder; the newest epoch at the last fault
+        self.was, self.epoch = "m0", 0
         self.errored = 0, 0.0                         # how many reqs were, and when the last was seen
 
     def run(self) -> Verdict:
@@ -92,7 +95,9 @@
             self.relay = Relay({n: p.members for n, p in self.processes.items()}, self.faults)
             seeds = ["{}:{}".format(*self.relay.advertised[n]) for n in script.names()[:3]]
             homes = {n: text(self.relay.advertised[n]) for n in script.homes()}
+            voters = {n: text(self.relay.advertised[n]) for n in script.names()[:script.voters]}
             for n, process in self.processes.items():
+                process.voters = voters
                 process.advertised, process.seeds, process.homes = self.relay.advertised[n], seeds, homes
             self.load = Load(list(self.processes.values()), script.load, int(script.work_ms * 1000))
             self.relay.start()
@@ -161,11 +166,25 @@
 
     def happen(self, step: Step) -> None:
         self.happened.append((round(self.now(), 2), " ".join((step.what, *step.words))))
+        self.epoch = self.shared.resource.newest.get(DUTY, (0, ""))[0]
         self.say(f"{self.now():6.1f} s  {self.happened[-1][1]}")
         members = [self.processes[n] for n in self.script.chosen(step.words[:1])] \
             if step.what in ("kill", "down", "stop", "start", "pause", "rate") else []
         if step.what == "calls":
             self.shared.below.span = float(step.words[0]) / 1000
+        elif step.what == "late":                     # the next act that comes is dealt with so much later
+            self.shared.resource.late = float(step.words[1])
+        elif step.what == "disk":
+            for name in self.named(step.words[0]):
+                self.processes[name].disk(step.words[1])
+        elif step.what == "holder":
+            self.happen(step._replace(what=step.words[0], words=(self.holder(), *step.words[1:])))
+        elif step.what == "hand-over":
+            self.processes[self.holder()].asked(" ".join(("hand-over", DUTY, *step.words)))
+        elif step.what == "roll":
+            self.ask_roll(step.words)
+        elif step.what == "dead":
+            self.shared.below.dead = step.words[0] == "yes"
         elif step.what in ("lame", "well"):
             for name in self.script.chosen(step.words):
                 getattr(self.shared.back_ends[name], step.what)()
@@ -191,6 +210,8 @@
         process.stop()
 
     def do_start(self, process: Process, *_) -> None:
+        if process.up() and not process.asked_to_end:
+            return                                    # it is there
         self.load.disturb(process.name, True)         # until it answers its check
         if process.child is not None:
             process.child.wait(10)
@@ -217,6 +238,51 @@
         """So many reqs a second come to it from now on."""
         self.load.rates[process.name] = float(rate)
 
+    # Duties.
+
+    def named(self, word: str) -> list[str]:
+        return [self.holder()] if word == "holder" else self.script.chosen((word,))
+
+    def holder(self) -> str:
+        """Who says that it holds the play's duty; the last one known where nobody does."""
+        for name, process in self.processes.items():
+            found = process.asked("duties") if process.up() else None
+            if found and found["duties"][DUTY]["state"] == "holding":
+                self.was = name
+        return self.was
+
+    def ask_roll(self, words: tuple[str, ...]) -> None:
+        """Of anybody who is up: it passes it on to the conductor."""
+        for process in self.processes.values():
+            found = process.asked(" ".join(("roll", *words))) if process.up() else None
+            if found and "fault" not in found:
+                return
+        self.say(f"       nobody took: roll {' '.join(words)}")
+
+    def held(self, name: str = "") -> bool:
+        """An act was taken within the last half second, of `name`'s where that is given."""
+        acts = self.shared.resource.acts[-3:]
+        fresh = any(act.taken and time.monotonic() - act.at < 0.5 for act in acts)
+        return fresh and (not name or self.holder() == name)
+
+    def moved(self) -> bool:
+        """Acts of a newer epoch than at the fault before it."""
+        return self.held() and self.shared.resource.newest[DUTY][0] > self.epoch
+
+    def nobody(self) -> bool:
+        """No act for two seconds."""
+        acts = self.shared.resource.acts
+        return not acts or time.monotonic() - acts[-1].at > 2
+
+    def rolled(self, state: str = "done") -> bool:
+        found = [p.asked("roll status") for p in self.processes.values() if p.up()]
+        return any(one and one.get("state") == state and one.get("number") for one in found)
+
+    def news(self, what: str) -> bool:
+        """All servers take the dependency for dead, or none does."""
+        found = [p.asked("duties") for p in self.processes.values() if p.up()]
+        return all(one and one["duties"]["ask"]["dead"] == (what == "dead") for one in found)
+
     # What the members see.
 
     def look(self) -> None:
@@ -314,6 +380,10 @@
                 Held("no fault of our own", not faults, 0.0)]
         if not self.shared.back_ends:                 # there a replayable req that was lost may run again
             held.append(Held("no req run twice", twice == 0, 0.0))
+        if self.script.voters:
+            wrong = history.faults(self.shared.resource.acts)
+            held.append(Held("no two acted under one epoch, none after a newer one"
+                             + "".join(f"; {x}" for x in wrong[:3]), not wrong, 0.0))
         if self.script.slots:
             most = self.shared.below.most
             held += [Held(f"in hand below {most} of {self.script.slots} at the most",
--- a/gullyoke/rig/processes.py
+++ b/gullyoke/rig/processes.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -18,8 +19,9 @@
 from gullyoke.lab.ports import free
 from gullyoke.lab.world import Database, Engine, Names, Peer, config, good
 from gullyoke.rig.script import Script
-from gullyoke.rig.standins import BackEnd, Below
+from gullyoke.rig.standins import BackEnd, Below, Resource
 
+DUTY = "play"                          # the application's duty that plays have
 COME_UP = 20.0                         # seconds for a process to answer its check
 
 
@@ -46,6 +48,7 @@
     def __init__(self, name: str, script: Script, day: Day, folder: pathlib.Path, shared: Shared) -> None:
         self.name, self.script, self.day, self.folder = name, script, day, folder
         self.shared, self.homes = shared, {}          # addresses of those who lend, by name
+        self.voters: dict[str, str] = {}
         self.listen, self.status, self.members = free(), free(), free()
         self.advertised = self.members
         self.seeds: list[str] = []
@@ -66,7 +69,7 @@
             f'fleet {{\n  name: "rig"\n  listen: "{text(self.members)}"\n'
             f'  advertise: "{text(self.advertised)}"\n{seeds}\n  zone: "{self.script.zone(self.name)}"\n'
             f'  key_file: "{self.folder}/key"\n  status: "{text(self.status)}"\n'
-            f'  size: true\n  heed: true\n{self.shares()}}}\n{self.pool()}')
+            f'  size: true\n  heed: true\n{self.shares()}}}\n{self.pool()}{self.duties()}')
         return path
 
     def shares(self) -> str:
@@ -74,6 +77,18 @@
         return f"  shares {{\n{homes}    slots: {self.script.slots} largest: {self.script.members}\n  }}\n" \
             if self.script.slots else ""
 
+    def duties(self) -> str:
+        if not self.script.voters:
+            return ""
+        voters = "".join(f'  voter {{ name: "{name}" address: "{at}" }}\n'
+                         for name, at in self.voters.items())
+        folder = self.folder / f"{self.name}-duties"
+        folder.mkdir(exist_ok=True)
+        more = "  book: true\n  ask: true\n" if self.script.slots else ""
+        own = f'name: "{DUTY}" address: "{self.shared.resource.address}" every_ms: 100'
+        return (f'duties {{\n{voters}  lease_ms: {self.script.lease_ms:g}\n  folder: "{folder}"\n'
+                f'  roll: true\n  record: true\n{more}  duty {{ {own} }}\n}}\n')
+
     def pool(self) -> str:
         if not self.shared.back_ends:
             return ""
@@ -155,6 +170,18 @@
         """MB of memory that it has now."""
         return usage.resident(self.child.pid) / 1024
 
+    def disk(self, how: str) -> None:
+        """Its duties' folder: `lost` is a fresh one from its next start on, `ill` one that can't be written,
+        `well` one that can again."""
+        folder = self.folder / f"{self.name}-duties"
+        if how == "lost":
+            folder.rename(self.folder / f"{self.name}-duties-{self.starts}")
+        elif how == "ill":
+            limit = 0 if self.up() else resource.RLIM_INFINITY
+            resource.prlimit(self.child.pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+        elif how == "well" and self.up():
+            resource.prlimit(self.child.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY,) * 2)
+
     def asked(self, what: str) -> dict | None:
         """What it says on its status address; None where it does not answer."""
         try:
@@ -172,9 +199,9 @@
 
     def __init__(self, script: Script) -> None:
         self.below: Peer = Below(script.call_ms / 1000) if script.slots else Database()
-        self.names = Names()
+        self.names, self.resource = Names(), Resource()
         self.back_ends = {f"b{i}": BackEnd(f"b{i}", script.work_ms / 1000) for i in range(script.backends)}
 
     def close(self) -> None:
-        for one in (self.below, self.names, *self.back_ends.values()):
+        for one in (self.below, self.names, self.resource, *self.back_ends.values()):
             one.close()
--- a/gullyoke/rig/standins.py
+++ b/gullyoke/rig/standins.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections import Counter
+from typing import NamedTuple
 
 from gullyoke.codec import scgi
 from gullyoke.codec.buffer import Buffer
@@ -26,7 +27,7 @@
     hand at once; `asked`, calls so far; a call given up stays in hand for LINGER."""
 
     def __init__(self, span: float) -> None:
-        self.span, self.dead, self.pen = span, False, threading.Lock()
+        self.span, self.dead, self.pen = span, False, threading.Lock()    # `dead`: every call fails at once
         self.hand = self.most = self.asked = 0
         self.times: list[float] = []                  # when each call came while it was dead
         super().__init__()
@@ -58,6 +59,41 @@
             link.sendall(f"{words[1]} {word}\r\n".encode())
 
 
+class Act(NamedTuple):
+    """An act that came to the resource: when it came and was dealt with, in seconds, and whether it was
+    taken."""
+    came: float
+    at: float
+    duty: str
+    epoch: int
+    life: str
+    taken: bool
+
+
+class Resource(Peer):
+    """What a duty acts on: takes acts by their epoch, refuses those older than the newest it has taken, and
+    keeps the history. `late`: for so many seconds an act of this process's stays on its way, by its life."""
+
+    def __init__(self) -> None:
+        self.pen, self.acts, self.newest, self.late = threading.Lock(), [], {}, 0.0
+        super().__init__()
+
+    def message(self, link: socket.socket, file, words: list[str]) -> None:
+        if words[:1] != ["HOLD"] or len(words) != 5:
+            return
+        duty, epoch, life, came = words[1], int(words[2]), words[3], time.monotonic()
+        late, self.late = self.late, 0.0              # one act is late, the next ones are not
+        if late:
+            time.sleep(late)
+        with self.pen:
+            newest = self.newest.get(duty, (0, ""))
+            taken = epoch > newest[0] or (epoch, life) == newest
+            if taken:
+                self.newest[duty] = epoch, life
+            self.acts.append(Act(came, time.monotonic(), duty, epoch, life, taken))
+        link.sendall(b"OK\n" if taken else b"STALE\n")
+
+
 class BackEnd:
     """An application server that speaks SCGI at an address of its own; each run takes `span` seconds."""
 
--- a/gullyoke/together/sharing.py
+++ b/gullyoke/together/sharing.py
@@ -4,7 +4,7 @@
 `need` and `used` are told to it: what it would use, and what it has in use at this moment."""
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from gullyoke.together.shares import Borrower, Claim, Grant, Holding, Home, Promise, Return, Voter, Want
@@ -38,6 +38,8 @@
         self.voter = Voter(now, home, self.homes) if home and votes else None
         self.holding = Holding(home, life, self.homes) if home else None
         self.lender = Home(self.holding, tokens, after) if self.holding else None
+        self.life, self.after = life, after
+        self.estates: dict[str, Home] = {}            # of homes that ended, lent here for as long as asked
 
     def in_force(self, now: int) -> int:
         """What this process may use at this moment: asked again after every wait."""
@@ -46,8 +48,9 @@
     def turn(self, now: int) -> list[Letter]:
         """What is to be said now; called a few times a second."""
         said: list[Letter] = []
-        if self.holding and (claim := self.holding.claim(now)) is not None:
-            said += [Letter(VOTER, home, claim) for home in self.homes]
+        for lender in self.lenders():
+            if (claim := lender.holding.claim(now)) is not None:
+                said += [Letter(VOTER, home, claim) for home in self.homes]
         said += [Letter(LENDER, back.home, back) for back in self.borrower.give_back(now, self.used)]
         return said + [Letter(LENDER, want.home, want) for want in self.borrower.ask(now, self.need)]
 
@@ -57,14 +60,34 @@
             promise = self.voter.claim(now, message) if self.voter else None
             return promise and Letter(ASKER, message.home, promise)
         if isinstance(message, Promise):
-            if self.holding:
-                self.holding.hear(now, message)
+            for lender in self.lenders():
+                lender.holding.hear(now, message)
         elif isinstance(message, Want):
-            grant = self.lender.want(now, message) if self.lender and message.home == self.home else None
+            lender = self.lends_for(message.home)
+            grant = lender.want(now, message) if lender else None
             return grant and Letter(ASKER, message.home, grant)
         elif isinstance(message, Grant):
             back = self.borrower.hear(now, message, self.used)
             return back and Letter(LENDER, message.home, back)
-        elif isinstance(message, Return) and self.lender and message.home == self.home:
-            self.lender.returned(now, message)
+        elif isinstance(message, Return) and (lender := self.lends_for(message.home)):
+            lender.returned(now, message)
         return None
+
+    # What homes that ended had to lend, given out here: the name's own majority keeps it safe, whoever asks.
+
+    def lenders(self) -> list[Home]:
+        return ([self.lender] if self.lender else []) + list(self.estates.values())
+
+    def lends_for(self, home: str) -> Home | None:
+        return self.lender if home == self.home else self.estates.get(home)
+
+    def take_over(self, tokens: Mapping[str, int]) -> None:
+        """Lend under these homes' names from now on, and under no others but one's own. A name is had only
+        once a majority of the homes has no promise of it out any more; one that comes back gets it when this
+        stops claiming."""
+        def made(home: str, count: int) -> Home:
+            return self.estates.get(home) or Home(Holding(home, self.life, self.homes), count, self.after)
+
+        self.estates = {home: made(home, count) for home, count in tokens.items()
+                        if home in self.homes and home != self.home}
+
--- a/gullyoke/together/slots.py
+++ b/gullyoke/together/slots.py
@@ -96,7 +96,7 @@
     def began(self) -> None:
         self.out += 1
 
-    def ended(self, now: int, lost: bool) -> None:
+    def ended(self, now: int, lost: bool, well: bool) -> None:
         self.out -= 1
         if lost and self.linger:
             self.lingers.append(now + self.linger)
@@ -139,4 +139,4 @@
 
     def began(self) -> None: ...
 
-    def ended(self, now: int, lost: bool) -> None: ...
+    def ended(self, now: int, lost: bool, well: bool) -> None: ...
--- a/gullyoke/walk/shares.py
+++ b/gullyoke/walk/shares.py
@@ -89,7 +89,7 @@
             self.drift = 0
             self.clocks[move[1]] += 1
         elif what == "come":
-            self.hear(*self.net.pop(move[1]))
+            self.hear(*self.net.pop(int(move[1])))
         elif what in ("claim", "claim-late"):
             self.claim(move[1], move[2], what == "claim-late")
         elif what == "ask":
--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -17,6 +17,7 @@
 from gullyoke.features.fleet import Fleet
 from gullyoke.members import Member, Row, Status, began
 from gullyoke.members.size import Size
+from gullyoke.members.words import Letter, Send
 from gullyoke.operator.read import read
 from gullyoke.operator.wanted import Faulty, Together
 from gullyoke.options import Misstated
@@ -52,6 +53,24 @@
             self.assertLess(time.monotonic(), until, f"never came: {what}")
             time.sleep(0.02)
 
+    def test_named_after_one_that_is_gone(self):
+        """What a machine refuses costs that datagram alone. Guards against the refusal coming up at the next
+        one's sending, which was not sent then: whoever was always named after one that is gone heard nothing."""
+        links = self.links(2)
+        self.begin(links, (text(links[0].address),))
+        self.eventually(lambda: all(len(k.member.view.rings) == 2 for k in links), "two in")
+        gone = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        gone.bind(("127.0.0.1", 0))
+        address = text(gone.getsockname())
+        gone.close()
+        heard = links[1].book.rows.get("peers.dropped.topic", 0)
+        row = links[0].member.row
+        for _ in range(40):
+            links[0].send(Send(address, Letter(row, 99, b"to nobody")))
+            links[0].send(Send(text(links[1].address), Letter(row, 99, b"to one")))
+        self.eventually(lambda: links[1].book.rows.get("peers.dropped.topic", 0) == heard + 40, "all 40")
+        self.assertNotIn("peers.unsent", links[0].book.rows)
+
     def test_a_fleet(self):
         """Three join; what does not verify is dropped and counted; one that ends is refused by the machine
         and removed by the others, sooner than silence would tell."""
--- a/tests/together/test_wire.py
+++ b/tests/together/test_wire.py
@@ -77,7 +77,7 @@
         eventually(lambda: wants(parts[0], 100) == 3 * TOKENS + 1, "all of it at one")
         self.assertEqual(wants(parts[1], 100), 1)     # its floor alone
         for _ in range(parts[0].own.out - 1):
-            parts[0].ended(clock.now(), False)
+            parts[0].ended(clock.now(), False, True)
         eventually(lambda: wants(parts[1], 100) == 3 * TOKENS + 1, "passed on")
         self.assertEqual(wants(parts[3], 100), 1)     # stated otherwise: none of theirs
         eventually(lambda: max(part.others for part in parts[:3]) > 0, "letters of another limit")
--- a/tests/walk/test_walk.py
+++ b/tests/walk/test_walk.py
@@ -1,7 +1,7 @@
 """The explorer on a world whose states are known, and the protocol of shares walked through."""
 import unittest
 
-from gullyoke.walk import shares
+from gullyoke.walk import duty, shares
 from gullyoke.walk.explore import walked
 
 
@@ -45,6 +45,17 @@
             with self.subTest(guard):
                 self.assertIsNotNone(shares.found(guard, 4)[1])
 
+    def test_duty(self):
+        """No order of losses, late words, stalls, restarts, wiped and failing disks and clocks a tick apart
+        brings two holders at once, an act after one of a newer epoch, or an epoch that goes back; without one
+        of the guards some does."""
+        states, wrong = duty.found(None, 3)
+        self.assertIsNone(wrong)
+        self.assertGreater(states, 6_000)
+        for guard in duty.MUTANTS:
+            with self.subTest(guard):
+                self.assertIsNotNone(duty.found(guard, 3)[1])
+
 
 if __name__ == "__main__":
     unittest.main()
