--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -55,7 +55,8 @@
 
     def test_named_after_one_that_is_gone(self):
         """What a machine refuses costs that datagram alone. Guards against the refusal coming up at the next
-        one's sending, which was not sent then: whoever was always named after one that is gone heard nothing."""
+        one's sending, which was not sent then: whoever was always named after one that is gone heard
+        nothing."""
         links = self.links(2)
         self.begin(links, (text(links[0].address),))
         self.eventually(lambda: all(len(k.member.view.rings) == 2 for k in links), "two in")
