--- a/gullyoke/rig/load.py
+++ b/gullyoke/rig/load.py
@@ -12,14 +12,15 @@
 from gullyoke.rig.processes import Process
 
 WORK = Work("view", 1.0, 10_000, .3, 1_000_000, 2_000_000, 1.0, .1, False, 0.0)
-OUTCOMES = {"200": "done", "503": "shed", "500": "errored"}
+OUTCOMES = {"200": "done", "503": "shed", "500": "errored", "refused": "refused"}
 SPAN = 8_000                           # microseconds of work a req
 
 
 class Load:
     """`rate` reqs a second to each member, whatever happens to it. Counts by outcome: done, shed, errored;
-    late, an answer after the client timeout; twice, bytes after an answer; none, no answer where the member
-    was up all the time; gone, no answer from one that was not."""
+    late, an answer after the client timeout; twice, bytes after an answer; refused, a connection that was
+    (which proves that nothing ran); none, no answer where the member was up all the time; gone, no answer
+    from one that was not."""
 
     def __init__(self, processes: list[Process], rate: float, span: int = SPAN) -> None:
         self.processes, self.rate, self.span = processes, rate, span
@@ -73,7 +74,14 @@
         """The statuses of all answers on a connection, read to its end."""
         began, got = time.monotonic(), b""
         took = 0.0
-        with contextlib.suppress(OSError), socket.create_connection(process.listen, 1) as conn:
+        try:
+            conn = socket.create_connection(process.listen, 1)
+        # which proves that nothing ran: a gateway asks elsewhere
+        except ConnectionRefusedError:
+            return ["refused"], 0.0
+        except OSError:
+            return [], 0.0
+        with contextlib.suppress(OSError), conn:
             conn.settimeout(WORK.timeout / 1e6 + 1.0)
             conn.sendall(data)
             while (more := conn.recv(4096)):
--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -78,8 +78,9 @@
         self.happened: list[tuple[float, str]] = []
         self.want: dict[str, tuple[int, int, float | None]] = {}
         self.starved = 0.0
-        # the last known holder; the newest epoch at the last fault
-        self.was, self.epoch = "m0", 0
+        self.starting: set[str] = set()
+        self.rolls: list[str] = []                    # who was restarted by a roll, in order
+        self.was, self.epoch = "m0", 0                # the last known holder; the epoch at the last fault
         self.errored = 0, 0.0                         # how many reqs were, and when the last was seen
 
     def run(self) -> Verdict:
@@ -278,6 +279,10 @@
         found = [p.asked("roll status") for p in self.processes.values() if p.up()]
         return any(one and one.get("state") == state and one.get("number") for one in found)
 
+    def restarted(self, *words: str) -> bool:
+        """Each of these by the roll, once."""
+        return all(self.rolls.count(name) == 1 for name in self.script.chosen(words))
+
     def news(self, what: str) -> bool:
         """All servers take the dependency for dead, or none does."""
         found = [p.asked("duties") for p in self.processes.values() if p.up()]
@@ -285,7 +290,32 @@
 
     # What the members see.
 
+    def supervise(self) -> None:
+        """Whoever ended in good order without being asked by the script was told to by a roll: started again,
+        as whoever starts servers would."""
+        for process in self.processes.values():
+            ended = process.starts and not process.up() and not process.asked_to_end
+            if ended and process.child.returncode == 0 and process.name not in self.starting:
+                self.starting.add(process.name)
+                self.rolls.append(process.name)
+                if process.engine is not None:
+                    process.engine.close()
+                threading.Thread(target=self.again, args=(process,), daemon=True).start()
+
+    def again(self, process: Process) -> None:
+        try:
+            self.load.disturb(process.name, True)
+            process.start()
+            process.wait()
+            self.load.disturb(process.name, False)
+        except ChildProcessError as fault:
+            self.say(f"       {fault}")
+        finally:
+            self.starting.discard(process.name)
+
     def look(self) -> None:
+        if self.script.voters:
+            self.supervise()
         if self.load.rows["errored"] > self.errored[0]:
             self.errored = self.load.rows["errored"], self.now()
         for name, process in self.processes.items():
--- a/tests/walk/test_walk.py
+++ b/tests/walk/test_walk.py
@@ -1,7 +1,8 @@
 """The explorer on a world whose states are known, and the protocol of shares walked through."""
 import unittest
 
-from gullyoke.walk import duty, shares
+from gullyoke.rig.script import read
+from gullyoke.walk import duty, played, shares
 from gullyoke.walk.explore import walked
 
 
@@ -56,6 +57,16 @@
             with self.subTest(guard):
                 self.assertIsNotNone(duty.found(guard, 3)[1])
 
+    def test_played(self):
+        """The way to each of the walk's starts is a script that the rig takes, with the faults in it."""
+        faults = {"a voter lost its promises": "disk m1 lost", "a disk failed a promise": "disk m2 ill",
+                  "in the middle of an act": "late x 2.1", "a voter starts anew": "kill m1"}
+        for name, way in duty.STARTS.items():
+            text = played.script(tuple(step.split()) for step in way.split(";") if step.strip())
+            script = read(text)
+            self.assertEqual((script.voters, [c.what for c in script.checks]), (3, ["held", "held"]))
+            self.assertIn(faults.get(name, "heal"), text)
+
 
 if __name__ == "__main__":
     unittest.main()
