--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -487,8 +487,8 @@
         if req.prior and (h.kind is Kind.UNIQUED or fresh and begun):
             yield from self.reuse(req)
             return
-        if req.due <= self.now + TICK:                       # rule 1: read too late for the next wake-up
-            yield self.advice.shed(True)
+        if req.due <= self.now + TICK or not h.open:         # rule 1: too late for the next wake-up, or shut
+            yield self.advice.shed(h.open, leaving=not h.open)
             return
         ahead = self.hold.ahead(h) / self.machine.cores
         if self.learner.binds() and self.hold.too_late(req, self.now + int(ahead)):
--- a/gullyoke/cli/fleet.py
+++ b/gullyoke/cli/fleet.py
@@ -319,12 +319,12 @@
     import os
 
     from gullyoke.duty.voter import Row
-    from gullyoke.features.duties import FOLDER, OURS, QUOTA
+    from gullyoke.features.duties import FOLDER, OURS
     from gullyoke.peers.duties import row_bytes, rows_in
-    from gullyoke.store import Disk, Store
+    from gullyoke.store import Cells, Disk
     files = Disk(os.path.join(folder, FOLDER))
     try:
-        store = Store(files, roll=2**16, quota=QUOTA)
+        store = Cells(files)
         promised, _ = rows_in((key, value) for key, value in store.items() if key != OURS)
         raised = {duty: Row(row.epoch + 1_000_000, 0, "") for duty, row in promised.items()}
         store.put([(OURS, f"{name} {number}".encode()),
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -41,13 +41,16 @@
 class Feature(Protocol):
     """One thing that an operator's file adds (gullyoke/features/), so that the lean start imports none of it.
 
-    Asked in this order: `work` and `held` while the house is put together, `join` when it is, `start` once
-    the timer runs, `print` with the counters, `leave` at the notice to leave, `end` at the end of the
-    drain."""
+    Asked in this order: `work`, `around` and `held` while the house is put together, `join` when it is,
+    `start` once the timer runs, `print` with the counters, `leave` at the notice to leave, `end` at the end
+    of the drain."""
 
     def work(self, told: Told, book: Book) -> Work | None:
         """What carries out the work in the engine's place, if this does."""
 
+    def around(self, house: House, work: Work) -> Work:
+        """What stands before the work from now on; `work` itself where this adds nothing to it."""
+
     def held(self) -> int:
         """The most descriptors that it holds."""
 
@@ -79,6 +82,8 @@
         self.calls = told.sockets // CALLS
         works = [work for one in self.features if (work := one.work(told, self.book)) is not None]
         self.work: Work = works[0] if works else Engine(told.engine, told.facts.machine.gauges, self.book)
+        for one in self.features:
+            self.work = one.around(self, self.work)
         self.desk.flush = self.work.flush
         self.database = Database(told.database, self.calls, self.timer, self.book)
         self.standing = Standing(told.facts.permits.longest_idle)
--- /dev/null
+++ b/gullyoke/durable/__init__.py
@@ -0,0 +1,14 @@
+"""What lasts, and what to do where it can't: how a disk is, what may be written to it, the notes of reqs that
+must not run again after a restart, and whose folder one finds.
+
+Decisions and state alone; no I/O, no clock and no chance but what is handed in. docs/disk-design.md says what
+was weighed, docs/store.md what an operator sees."""
+from gullyoke.durable.condition import Condition, State, Turn
+from gullyoke.durable.ledger import Act, Do, Ledger, Put, Without
+from gullyoke.durable.note import Note, Phase, Verdict, judged
+from gullyoke.durable.rooms import Kind, Rooms
+from gullyoke.durable.trust import Mark, Trust, trusted
+from gullyoke.durable.waits import Waits
+
+__all__ = ["Act", "Condition", "Do", "Kind", "Ledger", "Mark", "Note", "Phase", "Put", "Rooms", "State",
+           "Trust", "Turn", "Verdict", "Waits", "Without", "judged", "trusted"]
--- /dev/null
+++ b/gullyoke/durable/rooms.py
@@ -0,0 +1,72 @@
+"""Who may have how much of a disk, and what goes first when it grows full.
+
+Each kind of what is kept has its bytes. Near full nothing is lost yet: what is dead is compacted away. When
+that does not do, what is worth least goes first: what a server remembers of usual times, then the fleet's
+record, then the results of ended reqs (a repeat is then answered errored, as unknown, never run again), and
+notes whose window is over. Notes that are in force and promises are never given up for room; promises have
+theirs from the start (gullyoke/store/cells.py)."""
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from gullyoke.durable.condition import State
+
+
+class Kind(IntEnum):
+    """What is kept, by worth: the least first."""
+    MEMORY = 0
+    RECORD = 1
+    RESULTS = 2
+    NOTES = 3
+    PROMISES = 4
+
+
+# The share of the quota that each kind may have; promises stand beside it, in cells of their own.
+SHARES = {Kind.MEMORY: 0.05, Kind.RECORD: 0.15, Kind.RESULTS: 0.5, Kind.NOTES: 0.3}
+STILL = {State.WELL: Kind.MEMORY, State.NEAR_FULL: Kind.RESULTS, State.FULL: Kind.PROMISES,
+         State.FAILING: Kind.PROMISES, State.STALLED: Kind.PROMISES, State.READ_ONLY: Kind.PROMISES,
+         State.GONE: Kind.PROMISES}    # the least kind that is still written in a state
+
+
+class Goes(NamedTuple):
+    """So many bytes of a kind are to go."""
+    kind: Kind
+    bytes: int
+
+
+class Rooms:
+    """Bytes by kind. `quota` is what all but promises may take."""
+
+    def __init__(self, quota: int) -> None:
+        self.quota = quota
+        self.used = dict.fromkeys(SHARES, 0)
+
+    def most(self, kind: Kind) -> int:
+        return int(SHARES[kind] * self.quota)
+
+    def note(self, kind: Kind, size: int) -> None:
+        """So many bytes more are kept, or fewer."""
+        self.used[kind] = max(0, self.used[kind] + size)
+
+    def writes(self, kind: Kind, state: State) -> bool:
+        """Whether this kind is written at all while the disk is so."""
+        return kind >= STILL[state]
+
+    def fits(self, kind: Kind, size: int) -> bool:
+        return self.used[kind] + size <= self.most(kind)
+
+    def goes(self, need: int) -> list[Goes]:
+        """What to give up for so many bytes, the least worth first; less than that where there is no more.
+        Notes in force are not among it."""
+        out = []
+        for kind in (Kind.MEMORY, Kind.RECORD, Kind.RESULTS):
+            part = min(need, self.used[kind])
+            if part > 0:
+                out.append(Goes(kind, part))
+                need -= part
+        return out
+
+    def left(self) -> float:
+        """The share of the quota that is left."""
+        return max(0.0, 1 - sum(self.used.values()) / max(1, self.quota))
--- a/gullyoke/features/charges.py
+++ b/gullyoke/features/charges.py
@@ -13,18 +13,22 @@
 
 from gullyoke.core import clock
 from gullyoke.core.book import log, pairs
+from gullyoke.durable.rooms import Kind
 from gullyoke.duty import roll as rolls
 from gullyoke.duty.asking import Asking
 from gullyoke.duty.notices import Notice, Order
+from gullyoke.features.disks import Room
 from gullyoke.features.fleet import Fleet
 from gullyoke.members import Status
 from gullyoke.members.row import TURNS
 from gullyoke.operator.wanted import OwnDuty
 from gullyoke.peers.duties import Duties
 from gullyoke.port import Slots
+from gullyoke.store.lines import Lines
 from gullyoke.together.fair import split
 
 YOUNG = 6_000_000                      # a notice counts for so long
+LONGEST = 2**20                        # bytes of the record's file
 
 
 class Charge:
@@ -307,10 +311,11 @@
     under the epoch. The count goes on with the next holder."""
     name = "record"
 
-    def __init__(self, fleet: Fleet, duties: Duties, folder: str) -> None:
+    def __init__(self, fleet: Fleet, duties: Duties, room: Room) -> None:
         super().__init__(fleet, duties)
-        self.path, self.last, self.epoch, self.count = os.path.join(folder, "record.jsonl"), None, 0, 0
-        self.faults = 0
+        self.lines = Lines(os.path.join(room.folder, "record.jsonl"), LONGEST, room.watch,
+                           lambda: room.writes(Kind.RECORD))
+        self.last, self.epoch, self.count = None, 0, 0
 
     def act(self, now: int, epoch: int) -> None:
         register = self.duties.register(self.name)
@@ -323,28 +328,21 @@
         with self.fleet.link.lock:
             size, view = self.fleet.member.size(now), self.fleet.member.view
             state = size.members, f"{view.digest:016x}"
+        if self.lines.faults:                         # its disk fails: another may do better
+            self.fleet.house.book.add("duty.record_faults")
+            self.lines.faults = 0
+            self.duties.leave(self.name, f"its disk: {self.lines.why}", ill=True)
+            return
         if state != self.last:
             self.last = state
             row = {"what": "view", "members": state[0], "seen": size.seen, "digest": state[1]}
             self.write(now, row, register)
 
     def write(self, now: int, row: dict, register) -> None:
-        """One line, of 256 bytes at the most; the file is begun anew at 4 MiB."""
+        """One line, of 256 bytes at the most; the count goes on with the next holder."""
         self.count += 1
-        try:
-            if os.path.exists(self.path) and os.path.getsize(self.path) > 2**22:
-                os.replace(self.path, self.path + ".1")
-            with open(self.path, "a", encoding="utf-8") as file:
-                file.write(json.dumps({"n": self.count, "epoch": self.epoch, "by": self.fleet.house.told.name,
-                                       "at": int(time.time()), **row}) + "\n")
-        except OSError as fault:
-            self.faults += 1
-            self.fleet.house.book.add("duty.record_faults")
-            if self.faults >= 3:                      # its disk fails: another may do better
-                self.faults = 0
-                self.duties.leave(self.name, f"its disk: {fault}", ill=True)
-            return
-        self.faults = 0
+        self.lines.add(json.dumps({"n": self.count, "epoch": self.epoch, "by": self.fleet.house.told.name,
+                                   "at": int(time.time()), **row}))
         register.put(str(self.count).encode())
 
     def told(self, now: int) -> dict:
--- a/gullyoke/features/duties.py
+++ b/gullyoke/features/duties.py
@@ -28,6 +28,7 @@
 ACT = 100_000                          # microseconds between looks at what is held
 NOTICE = 2_000_000                     # and between notices of each duty
 FOLDER, QUOTA, OURS = "duties", 4 * 2**20, "voter"
+CLOSE = 0.5                            # seconds that the end waits for a disk that hangs
 HISTORY = 64                           # turns of duties that are shown
 
 
@@ -63,6 +64,9 @@
         self.fleet, row = fleet, fleet.member.row
         spans = Spans(wanted.lease, wanted.drift, min(200_000, wanted.lease // 10))
         voter, shelf = None, Shelf()
+        if wanted.folder:
+            self.room = fleet.disks.at(wanted.folder, QUOTA, fleet.house.book)
+            self.room.start()
         if wanted.voters.get(told.name) == fleet.wanted.advertise:
             voter, shelf = self.voter(told.name, row, spans)
         names = [name for name, on in (("ask", wanted.ask), ("book", wanted.book), ("roll", wanted.roll),
@@ -93,18 +97,18 @@
         if name in made:
             return made[name](self.fleet, self.duties)
         if name == "record":
-            return Record(self.fleet, self.duties, self.wanted.folder)
+            return Record(self.fleet, self.duties, self.room)
         return Told(self.fleet, self.duties, next(own for own in self.wanted.own if own.name == name))
 
     # The voter and its disk.
 
     def voter(self, name: str, row: Row, spans: Spans) -> tuple[Voter, Shelf]:
         """With what its folder has; a folder that is new, another's or can't be used makes it begin anew."""
-        from gullyoke.store import Committer, Disk, Store
+        from gullyoke.store import Cells, Committer
         rows, kept, number = None, {}, self.wanted.set
         try:
-            self.files = Disk(os.path.join(self.wanted.folder, FOLDER))
-            store = Store(self.files, roll=2**16, quota=QUOTA)
+            self.files = self.room.watch.files(os.path.join(self.wanted.folder, FOLDER))
+            store = Cells(self.files)                 # their room is taken now: a promise fits a full disk
             found = dict(store.items())
             whose, then = ours(found.pop(OURS, b""))
             if whose == name and then <= number <= then + 1:
@@ -226,7 +230,7 @@
         for name in self.charges:
             self.duties.leave(name, "the server ends")
         if self.committer is not None:
-            self.committer.close()
+            self.committer.close(CLOSE)
             self.files.close()
 
     # What an operator asks.
--- a/gullyoke/features/file.py
+++ b/gullyoke/features/file.py
@@ -72,10 +72,16 @@
         units.append(Listeners(wanted.ways))
     if wanted.classed is not None:
         units.append(ClassPools(path, wanted.classed))
+    if wanted.kept is not None or wanted.fleet is not None:
+        from gullyoke.features.disks import Disks
+        disks = Disks()
     if wanted.kept is not None:
         from gullyoke.features.memory import Memory
-        units.append(Memory(wanted.kept))
+        units.append(Memory(wanted.kept, disks))
     if wanted.fleet is not None:
         from gullyoke.features.fleet import Fleet
-        units.append(Fleet(path, wanted.fleet, wanted.kept, wanted.pool, wanted.duties))
+        units.append(Fleet(path, wanted.fleet, wanted.kept, wanted.pool, wanted.duties, disks))
+    if wanted.kept is not None and wanted.kept.without:
+        from gullyoke.features.keys import Keys
+        units.append(Keys(wanted.kept, disks))
     return units
--- a/gullyoke/features/fleet.py
+++ b/gullyoke/features/fleet.py
@@ -10,6 +10,7 @@
 from gullyoke.core import clock
 from gullyoke.core.book import log, pairs
 from gullyoke.daemon.house import House
+from gullyoke.features.disks import Disks
 from gullyoke.features.part import Part
 from gullyoke.features.unit import Plain
 from gullyoke.members import Change, Member, Row, Status, began
@@ -30,8 +31,9 @@
     name = part = "fleet"
 
     def __init__(self, path: str, wanted: Together, kept: Kept | None, pool: Pooled | None = None,
-                 duties: Dutied | None = None) -> None:
+                 duties: Dutied | None = None, disks: Disks | None = None) -> None:
         super().__init__(wanted)
+        self.disks = disks or Disks()
         self.path, self.wanted, self.kept = path, wanted, kept
         self.house: House | None = None
         self.link: Link | None = None
@@ -62,7 +64,10 @@
     def start(self) -> None:
         house, wanted = self.house, self.wanted
         self.told = self.size = house.told.facts.fleet.size
-        self.number = Number(self.kept.folder if self.kept else None, house.book)
+        files = None
+        if self.kept:
+            files = self.disks.at(self.kept.folder, self.kept.quota, house.book).watch.files
+        self.number = Number(self.kept.folder if self.kept else None, house.book, files)
         chance = random.Random(house.told.seed ^ 0x5EED)
         row = Row(house.told.name, began(int(time.time()), self.number.known()), Status.JOINING,
                   wanted.advertise, wanted.zone, chance.getrandbits(63))
--- /dev/null
+++ b/gullyoke/features/keys.py
@@ -0,0 +1,245 @@
+"""Notes of reqs that must not run twice, kept over restarts: what the rules of gullyoke/durable come to on a
+real folder.
+
+A run is given once its note is on the disk, and its end told once that is; both wait on the committer's
+thread, never under the desk's lock. The decisions hear of a req that could not be promised as of one that
+there was nowhere to run (`UNRUN`), and of the disk's state by their handlers' `open`."""
+from __future__ import annotations
+
+import os
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from gullyoke.core import clock
+from gullyoke.core.book import log, pairs
+from gullyoke.core.desk import Taken
+from gullyoke.core.message import Answer
+from gullyoke.core.repeats import Entry, Repeats
+from gullyoke.daemon.house import House
+from gullyoke.durable import Ledger, Mark, Note, Phase, State, Trust, Without, trusted
+from gullyoke.durable.condition import BAD, Turn
+from gullyoke.durable.rooms import Kind as What
+from gullyoke.durable.trust import marked, older
+from gullyoke.features.disks import Disks
+from gullyoke.features.promised import NOTE, Promised, digest, encode, packed, unpacked
+from gullyoke.features.unit import Plain
+from gullyoke.members.row import TURNS
+from gullyoke.operator.wanted import Kept
+from gullyoke.port import PAST, Kind
+from gullyoke.store import Committer, Newer, Store
+from gullyoke.work import Work
+
+FOLDER, MARK = "keys", "mark"
+SWEEP, LOOK = 50_000, 1_000_000        # microseconds between looks at what is overdue, and at all the rest
+OPEN, CLOSE = 5.0, 0.5                 # seconds that a start waits for the folder, and an end for the queue
+RESULTS = 16 * 2**20                   # bytes of notes and results in memory at the most
+
+decode_mark = msgspec.msgpack.Decoder(tuple[int, str, int, int]).decode
+
+
+class Remembered(Repeats):
+    """Repeats of this life, and behind them what earlier ones noted. `doubts` says whether further tries of
+    what is not known are doubted now."""
+
+    def __init__(self, fresh_for: int, past: Callable[[int, str], Note | None],
+                 doubts: Callable[[int], bool]) -> None:
+        super().__init__(fresh_for)
+        self.past, self.doubts = past, doubts
+
+    def find(self, req: Taken, now: int):
+        entry, prior = super().find(req, now)
+        if entry is not None or not req.key or req.handler.kind is Kind.REPLAYABLE:
+            return entry, prior
+        note = self.past(now, digest(req.handler.name, req.key))
+        if note is not None:
+            entry = Entry(None, note.until)
+            if note.phase is Phase.ENDED and note.status:
+                entry.result = Answer(note.status, note.body, note.fields)
+            return entry, PAST
+        if req.resent and self.doubts(now):
+            return Entry(None, now), PAST
+        return None, None
+
+
+class Keys(Plain):
+    name = part = "kept"
+
+    def __init__(self, kept: Kept, disks: Disks) -> None:
+        super().__init__(kept)
+        self.kept, self.disks = kept, disks
+        self.committer: Committer | None = None
+        self.ready = threading.Event()
+        self.trust: Trust | None = None
+        self.mark: Mark | None = None
+        self.last = self.doubted = self.next = 0      # `last`: the number of the start before this one
+        self.shut = self.lost = False                 # `lost`: what the folder held is gone
+
+    # Put together.
+
+    def around(self, house: House, work: Work) -> Work:
+        self.house = house
+        self.ledger = Ledger(int(time.time()), Without(self.kept.without), min(RESULTS, self.kept.quota // 2))
+        self.room = self.disks.at(self.kept.folder, self.kept.quota, house.book)
+        self.window = max([h.window for h in house.told.facts.handlers], default=0)
+        self.promised = Promised(work, house.desk, self.ledger, self.fit, self.put, house.book)
+        house.desk.repeats = Remembered(house.told.facts.fleet.fresh_for, self.past, self.doubts)
+        return self.promised
+
+    def join(self, house: House) -> None:
+        """The folder is read on a thread of its own: a disk that hangs holds up no start."""
+        threading.Thread(target=self.open, name="keys", daemon=True).start()
+        if not self.ready.wait(OPEN):
+            log.error("keys not read yet", extra=pairs(folder=self.kept.folder))
+
+    def start(self) -> None:
+        self.room.start()
+        self.room.watch.heed.append(self.turned)
+        self.house.timer.at(clock.now() + SWEEP, self.sweep)
+
+    def opened(self) -> Store:
+        self.files = self.room.watch.files(os.path.join(self.kept.folder, FOLDER))
+        return Store(self.files, roll=max(4096, self.kept.quota // 8), quota=self.kept.quota)
+
+    def open(self) -> None:
+        """Read what is there, say how far it is believed, and write down what is in force here and is not
+        there: at the start nothing is, after the folder was gone all of it."""
+        now, found, mark = clock.now(), [], None
+        try:
+            store = self.opened()
+            for key, value in store.items():
+                if key == MARK:
+                    mark = Mark(*decode_mark(value))
+                elif key.startswith(NOTE) and (note := unpacked(value)) is not None:
+                    found.append((key, note))
+        except (OSError, ValueError, msgspec.MsgspecError) as fault:
+            self.house.book.add("keys.unread")
+            log.error("keys not read", extra=pairs(folder=self.kept.folder, why=fault))
+            if self.trust is None:
+                self.trust, self.doubted = Trust(False, False, True, str(fault)), now + self.window
+            self.lost = not isinstance(fault, Newer)  # read once it can be
+            self.ready.set()
+            return
+        trust = trusted(mark, len(found), self.house.told.name, 0, now)
+        with self.promised.pen:
+            rows = [(key, packed(row.note)) for key, row in self.ledger.rows.items()]
+            known = {key for key, _ in rows}
+            found = [(key, note) for key, note in found if key not in known]
+            past = self.ledger.recover(now, found if trust.notes else [])
+            if self.mark is None:
+                self.last = mark.number if mark is not None else 0
+                self.mark = marked(mark, self.house.told.name, int(time.time()), now)
+            if self.trust is None:
+                self.trust, self.doubted = trust, now + self.window if trust.doubts else 0
+            gone = past if trust.notes else [key for key, _ in found]
+            first = [(MARK, encode(tuple(self.mark))), *rows, *((key, None) for key in gone)]
+            self.committer, self.lost = Committer(store, first=first) if trust.writes else None, False
+        self.ready.set()
+        log.info("keys", extra=pairs(folder=self.kept.folder, notes=len(self.ledger.rows), past=len(past),
+                                     start=self.mark.number, why=trust.why, dropped=store.dropped))
+
+    def compare(self, now: int) -> None:
+        """Once in a fleet: a copy that is older than what the others know is believed no more, and the mark
+        grows with this server's own start there."""
+        fleet = next((one for one in self.house.features if one.name == "fleet"), None)
+        member = getattr(fleet, "member", None)
+        if member is None or self.mark is None or self.committer is None:
+            return
+        known, own = member.entry.known // TURNS, member.row.number // TURNS
+        if self.trust.notes and older(self.last, known):
+            self.trust = Trust(False, True, True, f"an older copy: start {self.last}, others know {known}")
+            self.doubted = now + self.window
+            with self.promised.pen:
+                for key in self.ledger.forget_others():
+                    self.put(key, None)
+            self.house.book.add("keys.older_copy")
+            log.error("keys not believed", extra=pairs(why=self.trust.why))
+        if own > self.mark.number:
+            self.mark = self.mark._replace(number=own, at=now)
+            self.put(MARK, encode(tuple(self.mark)))
+
+    # For the decisions' side.
+
+    def past(self, now: int, key: str) -> Note | None:
+        with self.promised.pen:
+            return self.ledger.past(now, key)
+
+    def doubts(self, now: int) -> bool:
+        return not self.ready.is_set() or now < self.doubted
+
+    def fit(self) -> bool:
+        """Whether the disk may be asked for a promise now."""
+        return self.committer is not None and self.room.watch.takes()
+
+    def put(self, key: str, value: bytes | None, told: Callable[[bool], None] = lambda durable: None) -> bool:
+        return self.committer is not None and self.committer.put(key, value, told)
+
+    # From the timer.
+
+    def sweep(self) -> None:
+        now = clock.now()
+        self.house.timer.at(now + SWEEP, self.sweep)
+        self.promised.overdue(now)
+        bad = self.room.watch.state() in BAD
+        self.state(not bad and self.committer is not None)
+        if now >= self.next:
+            self.next = now + LOOK
+            self.look(now, bad)
+
+    def state(self, fit: bool) -> None:
+        """What the decisions go by."""
+        shut = not fit and self.ledger.without is Without.SHED
+        if shut != self.shut:
+            self.shut = shut
+            for handler in self.house.told.facts.handlers:
+                handler.open = not (shut and handler.kind is Kind.UNIQUED)
+
+    def look(self, now: int, bad: bool) -> None:
+        """What is past goes; near full what is dead goes first, then results."""
+        rooms, ledger = self.room.rooms, self.ledger
+        with self.promised.pen:
+            if not bad:
+                for key in ledger.expire(now):
+                    self.put(key, None)
+            rooms.used[What.NOTES], rooms.used[What.RESULTS] = ledger.sizes()
+        if self.room.watch.state() is State.NEAR_FULL and self.committer is not None:
+            self.committer.tidy()
+            dropped = 0
+            with self.promised.pen:
+                for put in ledger.shrink(now, rooms.most(What.RESULTS) // 8):
+                    dropped += self.put(put.key, packed(put.note), lambda durable, put=put:
+                                        self.promised.told(put, durable))
+            self.house.book.add("keys.results_dropped", dropped)
+        self.compare(now)
+
+    def turned(self, turn: Turn) -> None:
+        """A folder that was gone and is back has nothing of what lay in it, or is another's. Called under the
+        watch's lock."""
+        self.lost |= turn.now is State.GONE
+        if self.lost and turn.now not in BAD:
+            threading.Thread(target=self.again, name="keys", daemon=True).start()
+
+    def again(self) -> None:
+        """What was open is let go, and the folder begun anew."""
+        if self.committer is not None:
+            self.committer.close(CLOSE)
+            self.files.close()
+        self.house.book.add("keys.begun_anew")
+        self.open()
+
+    def print(self) -> None:
+        with self.promised.pen:
+            one, waits, committer = self.ledger, self.ledger.waits, self.committer
+            row = dict(notes=len(one.rows), bytes=one.bytes, bare=one.bare, lost=one.lost,
+                       refused=one.refused, out=len(one.out), usual_ms=f"{waits.mean / 1000:.2f}")
+        groups = committer.groups if committer else 0
+        log.info("keys", extra=pairs(**row, state=self.room.watch.state().value,
+                                     group=f"{committer.put_in / groups:.1f}" if groups else "-"))
+
+    def end(self) -> None:
+        """Never held up for long by a disk that hangs."""
+        self.room.watch.end()
+        if self.committer is not None and not self.committer.close(CLOSE):
+            log.error("keys not all written", extra=pairs(held=self.committer.held))
--- a/gullyoke/features/memory.py
+++ b/gullyoke/features/memory.py
@@ -11,9 +11,11 @@
 from gullyoke.core.desk import Desk
 from gullyoke.core.timer import Timer
 from gullyoke.daemon.house import House
+from gullyoke.durable.rooms import Kind
+from gullyoke.features.disks import Disks, Room
 from gullyoke.features.unit import Plain
 from gullyoke.operator.wanted import Kept
-from gullyoke.store import Committer, Disk, Store
+from gullyoke.store import Committer, Store
 from gullyoke.store import remember as rules
 
 LOOK, KEEP = 500_000, 5_000_000       # microseconds between looks, and between snapshots
@@ -24,28 +26,31 @@
     """The feature: what is remembered lies in the folder that the file names."""
     name = part = "kept"
 
-    def __init__(self, kept: Kept) -> None:
+    def __init__(self, kept: Kept, disks: Disks) -> None:
         super().__init__(kept)
-        self.kept, self.memory, self.house = kept, None, None
+        self.kept, self.disks, self.memory, self.house = kept, disks, None, None
 
     def join(self, house: House) -> None:
         self.house = house
-        self.memory = Remembered(self.kept.folder, self.kept.quota, house.told.settings, house.book)
+        self.room = self.disks.at(self.kept.folder, self.kept.quota, house.book)
+        self.memory = Remembered(self.room, self.kept.quota, house.told.settings, house.book)
 
     def start(self) -> None:
+        self.room.start()
         self.memory.watch(self.house.desk, self.house.timer)
 
 
 class Remembered:
     """Table: none; the store holds two rows."""
 
-    def __init__(self, folder: str, quota: int, stated: object, book: Book) -> None:
+    def __init__(self, room: Room, quota: int, stated: object, book: Book) -> None:
         self.stated, self.book, self.committer = rules.digest(stated), book, None
+        self.room, folder = room, room.folder
         self.found, self.weight, self.starts = None, 0.0, rules.Starts()
         self.usual: dict[str, float] = {}
         self.recalled, self.calm, self.kept, self.began = False, False, clock.now(), clock.now()
         try:
-            store = Store(Disk(folder), roll=max(4096, quota // 8), quota=quota)
+            store = Store(room.watch.files(folder), roll=max(4096, quota // 8), quota=quota)
             self.starts = rules.unpacked(store.get(STARTS), rules.Starts) or rules.Starts()
             self.found = rules.unpacked(store.get(LEARNED), rules.Learned)
             verdict = rules.trust(self.found, self.stated, time.time(), self.starts)
@@ -95,6 +100,10 @@
             self.put(STARTS, rules.packed(rules.Starts()))
 
     def put(self, key: str, data: bytes) -> None:
+        if not self.room.writes(Kind.MEMORY):         # what is worth least is not written where room is short
+            self.book.add("memory.skipped")
+            return
+
         def told(durable: bool) -> None:
             self.book.add("memory.kept" if durable else "memory.faults")
 
--- /dev/null
+++ b/gullyoke/features/promised.py
@@ -0,0 +1,215 @@
+"""Work whose runs wait for their notes on the disk, and whose ends wait for theirs.
+
+Stands before the work for the decisions, and before the relay for the work. What the rules say
+(gullyoke/durable/ledger.py) and what is queued for the disk happen under one small lock, `pen`, so that the
+disk gets the writes of a key in the order of the rules; nothing waits under it."""
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from hashlib import blake2b
+
+import msgspec
+
+from gullyoke.core import clock
+from gullyoke.core.book import Book
+from gullyoke.core.desk import Desk, Taken
+from gullyoke.core.message import Answer
+from gullyoke.durable import Act, Do, Ledger, Note, Phase, Put
+from gullyoke.port import Kind, Word
+from gullyoke.work import Work
+
+NOTE = "n"                             # what a note's key begins with
+ENDS = (Word.DONE, Word.ERRORED, Word.STOPPED)
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(tuple[int, int, int, int, int, tuple[tuple[str, str], ...], bytes]).decode
+
+Disk = Callable[[str, bytes | None, Callable[[bool], None]], bool]
+
+
+def digest(handler: str, key: str) -> str:
+    """The key under which a req's note lies."""
+    return NOTE + blake2b(f"{handler}\0{key}".encode(), digest_size=16).hexdigest()
+
+
+def packed(note: Note | None) -> bytes | None:
+    return None if note is None else encode(tuple(note))
+
+
+def unpacked(data: bytes) -> Note | None:
+    """A note as the disk has it; None for what is none."""
+    try:
+        phase, *rest = decode(data)
+        return Note(Phase(phase), *rest)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+
+
+def noted(req: Taken) -> bool:
+    """Whether it needs a note: it must not run twice, and a repeat of it can be known."""
+    return bool(req.key) and req.handler.kind is not Kind.REPLAYABLE
+
+
+class Ear:
+    """What work asks of its listener's desk: the reqs in hand, and words on a run that it was just given."""
+
+    def __init__(self, desk: Desk, soon: Callable[[Taken, Word], None]) -> None:
+        self.reqs, self.soon = desk.reqs, soon
+
+
+class Promised:
+    """`fit` says whether the disk may be asked for a promise, `disk` queues a write. Tables: `going`, reqs by
+    key while their run is promised or goes on, `keys`, their keys by id; `ends`, by key, what is told once an
+    end is durable. All of a req leaves at the end of its run, or when it is left unrun."""
+
+    def __init__(self, inner: Work, desk: Desk, ledger: Ledger, fit: Callable[[], bool], disk: Disk,
+                 book: Book) -> None:
+        self.inner, self.real, self.ledger, self.fit, self.disk = inner, desk, ledger, fit, disk
+        self.book, self.pen = book, threading.RLock()
+        self.going: dict[str, Taken] = {}
+        self.keys: dict[str, str] = {}
+        self.ends: dict[str, Callable[[bool], None]] = {}
+        self.desk = Ear(desk, self.soon)
+        self.feed, self.skip, self.halt, self.flush = inner.feed, inner.skip, inner.halt, inner.flush
+        self.stat, self.move = inner.stat, inner.move
+
+    def start(self, heard) -> None:
+        self.heard = heard
+        self.need, self.hello, self.stats = heard.need, heard.hello, heard.stats
+        self.inner.start(self)
+
+    # From the decisions, under the desk's lock.
+
+    def run(self, req: Taken) -> None:
+        if not noted(req):
+            self.inner.run(req)
+            return
+        key, now, h, fit = digest(req.handler.name, req.key), self.real.now, req.handler, self.fit()
+        until = max(now, req.arrived) + (h.window or 2 * h.timeout)
+
+        def asked() -> Put | Act:
+            if self.ledger.past(now, key) is None:
+                self.going[key], self.keys[req.tid] = req, key
+            return self.ledger.asked(now, key, req.arrived, until, req.due, self.real.server.hold.cost[h],
+                                     fit)
+
+        said = self.ruled(asked)
+        if said is not None and said.do is Do.KNOWN:  # a non-replayable one that may have run before
+            self.book.add("keys.known")
+            self.real.soon(req, Word.ERRORED)
+        elif said is not None:
+            self.carry(said, True)
+
+    def soon(self, req: Taken, word: Word) -> None:
+        """A word of the work's on a run that it was just given."""
+        if word in (Word.UNRUN, Word.MOOT):
+            self.left(req.tid)
+        self.real.soon(req, word)
+
+    # From the work.
+
+    def done(self, tid: str, end: str, result: bytes) -> None:
+        if end == "void":
+            self.left(tid)
+            self.heard.done(tid, end, result)
+            return
+        self.over(tid, Answer(200 if end == "ok" else 0, result),
+                  lambda well: self.heard.done(tid, end if well else "failed", result if well else b""))
+
+    def ran(self, req: Taken, word: Word, answer: Answer | None) -> None:
+        if word not in ENDS:
+            self.left(req.tid)
+            self.heard.ran(req, word, answer)
+            return
+        self.over(req.tid, answer if answer is not None and word is Word.DONE else Answer(0),
+                  lambda well: self.heard.ran(req, word if well else Word.ERRORED, answer if well else None))
+
+    def not_done(self, command: str, tid: str) -> None:
+        if command == "RUN":
+            self.left(tid)
+        self.heard.not_done(command, tid)
+
+    def over(self, tid: str, answer: Answer, tell: Callable[[bool], None]) -> None:
+        """A run is over: `tell` goes on once its end is on the disk, or with False where it can't be."""
+        fit = self.fit()
+
+        def ended() -> Put | Act:
+            self.going.pop(key, None)
+            self.ends[key] = tell
+            well = answer.status == 200
+            return self.ledger.ended(clock.now(), key, answer.status if well else 0,
+                                     answer.fields if well else (), answer.body if well else b"", fit)
+
+        with self.pen:
+            key = self.keys.pop(tid, None)
+        if key is None:
+            tell(True)
+            return
+        said = self.ruled(ended)
+        if said is not None:
+            self.carry(said, False)
+
+    def left(self, tid: str) -> None:
+        """Nothing of it ran."""
+        with self.pen:
+            key = self.keys.pop(tid, None)
+            if key is None:
+                return
+            self.going.pop(key, None)
+            self.ruled(lambda: self.ledger.left(clock.now(), key))
+
+    # Through the disk.
+
+    def ruled(self, rule: Callable[[], Put | Act | None]) -> Act | None:
+        """What a rule says; what it wants written is queued before another rule is asked."""
+        with self.pen:
+            said = rule()
+            while isinstance(said, Put):
+                put = said
+                queued = self.disk(put.key, packed(put.note),
+                                   lambda durable, put=put: self.told(put, durable))
+                said = None if queued else self.ledger.unqueued(clock.now(), put)
+            return said
+
+    def told(self, put: Put, durable: bool) -> None:
+        """The disk's word on a write, on the committer's thread."""
+        self.book.add("keys.kept" if durable else "keys.unkept")
+        said = self.ruled(lambda: self.ledger.written(clock.now(), put, durable))
+        if said is not None:
+            self.carry(said, False)
+
+    def carry(self, act: Act, inside: bool) -> None:
+        """`inside` the desk's lock, or on a thread that does not hold it."""
+        with self.pen:
+            tell = self.ends.pop(act.key, None) if act.do in (Do.END, Do.UNKNOWN) else None
+            req = self.going.get(act.key)
+        if tell is not None:
+            if act.do is Do.UNKNOWN:
+                self.book.add("keys.unknown")
+            tell(act.do is Do.END)
+        elif act.do is Do.UNRUN and req is not None:
+            self.book.add("keys.unrun")
+            self.left(req.tid)
+            (self.real.soon if inside else self.real.tell)(req, Word.UNRUN)
+        elif act.do is Do.RUN and req is not None:
+            if inside:
+                self.inner.run(req)
+            else:
+                self.real.handle(lambda: self.go(req), req)
+
+    def go(self, req: Taken) -> None:
+        """Its note is durable: it runs, unless nobody waits for it any more."""
+        if self.real.reqs.get(req.tid) is req and not req.answered and not req.gone:
+            self.inner.run(req)
+        else:
+            self.left(req.tid)
+            self.real.server.tell(self.real.now, req, Word.UNRUN)
+
+    def overdue(self, now: int) -> None:
+        """Those that have waited for too long, for their run or for their end, go on without."""
+        with self.pen:
+            acts = self.ledger.overdue(now)
+        for act in acts:
+            self.book.add("keys.overdue")
+            self.carry(act, False)
--- a/gullyoke/features/unit.py
+++ b/gullyoke/features/unit.py
@@ -25,6 +25,9 @@
     def work(self, told: Told, book: Book) -> Work | None:
         return None
 
+    def around(self, house: House, work: Work) -> Work:
+        return work
+
     def join(self, house: House) -> None: ...
 
     def start(self) -> None: ...
--- a/gullyoke/members/entry.py
+++ b/gullyoke/members/entry.py
@@ -42,6 +42,7 @@
         self.refuted_at, self.refute = now - REFUTE, REFUTE
         self.lately: list[str] = []
         self.challenged: tuple[Row, int] | None = None
+        self.known = 0                 # the newest number of our name that others knew before this start
 
     def asks(self, now: int, live: set[str]) -> list[str]:
         """The addresses to say hello to now. One who is in goes on asking the seeds it does not see, now and
@@ -63,6 +64,7 @@
         if self.stage not in (Stage.ALONE, Stage.DISPLACED):
             return None
         if known is not None and known.life != self.row.life:
+            self.known = max(self.known, known.number)
             if known.live() and known.address != self.row.address and not self.outlived(now, known):
                 return None
             if known.number >= self.row.number:       # an earlier start of ours, on a clock that went ahead
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -122,7 +122,8 @@
     kept = None
     if found.HasField("store"):
         quota = found.store.quota_mb if found.store.HasField("quota_mb") else 16
-        kept = Kept(found.store.folder, quota * 2**20)
+        without = schema.Keys.Without.Name(found.store.keys.without).lower().replace("_", " ")
+        kept = Kept(found.store.folder, quota * 2**20, without if found.store.HasField("keys") else "")
     fleet = together(found.fleet) if found.HasField("fleet") else None
     duties = dutied(found.duties) if found.HasField("duties") else None
     if not found.HasField("backends"):
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -65,9 +65,11 @@
 
 
 class Kept(NamedTuple):
-    """Where what is remembered is kept, and how many bytes it may take."""
+    """Where what is remembered is kept, and how many bytes it may take. `without`: what becomes of reqs whose
+    notes can't be kept now, `shed` or `go on`; empty where no notes are kept."""
     folder: str
     quota: int
+    without: str = ""
 
 
 class Slotted(NamedTuple):
--- a/gullyoke/peers/kept.py
+++ b/gullyoke/peers/kept.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 
 from gullyoke.core.book import Book, log, pairs
 
 KEY, FOLDER, QUOTA = "number", "fleet", 2**20
+CLOSE = 0.5                            # seconds that the end waits for a disk that hangs
 
 
 class Number:
     """`folder` None: nothing is kept, and the others' memory and the clock must do. A disk that fails is said
-    and counted, never waited for."""
+    and counted, never waited for. `files` opens the folder; a plain `Disk` where it is not given."""
 
-    def __init__(self, folder: str | None, book: Book) -> None:
+    def __init__(self, folder: str | None, book: Book, files: Callable | None = None) -> None:
         self.book, self.latest, self.committer, self._known = book, 0, None, 0
         if folder is None:
             return
         from gullyoke.store import Committer, Disk, Store
         try:
-            self.disk = Disk(os.path.join(folder, FOLDER))
+            self.disk = (files or Disk)(os.path.join(folder, FOLDER))
             store = Store(self.disk, roll=4096, quota=QUOTA)
             self._known = int.from_bytes(store.get(KEY) or b"", "big")
             self.committer = Committer(store)
@@ -40,5 +42,5 @@
 
     def close(self) -> None:
         if self.committer is not None:
-            self.committer.close()
+            self.committer.close(CLOSE)
             self.disk.close()
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, eq=False)
 class Handler:
-    """A type of req."""
+    """A type of req. `open` is False while what its runs need is not to be had: newcomers are told so."""
     name: str
     target: int
     timeout: int
@@ -36,6 +36,7 @@
     calls: bool
     skip_share: float
     stretch: float
+    open: bool = True
 
 
 @dataclass(slots=True, eq=False)
--- a/gullyoke/store/commit.py
+++ b/gullyoke/store/commit.py
@@ -11,28 +11,48 @@
 
 
 class Committer:
-    """`put` only queues, `most` entries at once; `told` hears on the committer's thread whether it is
-    durable. `weak` after a fault of the disk, until a batch goes well again; `refused` counts what found the
-    queue full."""
+    """`put` only queues, `most` entries and `bytes` at once; `told` hears on the committer's thread whether
+    it is durable. `weak` after a fault of the disk, until a batch goes well again; `refused` counts what
+    found the queue full; `held`, the bytes that wait or are being written. `first` is put before all else."""
 
-    def __init__(self, store: Store, most: int = 4096, group: int = 256) -> None:
-        self.store, self.group = store, group
+    def __init__(self, store: Store, most: int = 4096, group: int = 256, bytes: int = 2**22,
+                 first: list[tuple[str, bytes | None]] | None = None) -> None:
+        self.store, self.group, self.bytes, self.held, self.first = store, group, bytes, 0, first
         self.queue: queue.Queue = queue.Queue(most)
+        self.pen, self.untidy = threading.Lock(), False
         self.weak, self.refused, self.groups, self.put_in = False, 0, 0, 0
         self.thread = threading.Thread(target=self.run, name="store", daemon=True)
         self.thread.start()
 
     def put(self, key: str, value: bytes | None, told: Told = lambda durable: None) -> bool:
         """Queue it; False where the queue is full, and then nobody is told."""
+        size = len(key) + len(value or b"")
+        with self.pen:
+            fits = self.held + size <= self.bytes
+            self.held += size * fits
         try:
-            self.queue.put_nowait((key, value, told))
-            return True
+            if fits:
+                self.queue.put_nowait((key, value, told))
+                return True
         except queue.Full:
-            self.refused += 1
-            return False
+            with self.pen:
+                self.held -= size
+        self.refused += 1
+        return False
+
+    def tidy(self) -> None:
+        """Compact away what is dead before the next batch, little as it may be."""
+        self.untidy = True
+        self.put("", None)
 
     def run(self) -> None:
+        if self.first:
+            self.commit([(key, value, lambda durable: None) for key, value in self.first], False)
+            self.first = None
         while (first := self.queue.get()) is not None:
+            if self.untidy:
+                self.untidy = False
+                self.store.compact(16, eager=True)
             batch = [first]
             last = False
             while len(batch) < self.group and not last:
@@ -48,17 +68,23 @@
             if last:
                 return
 
-    def commit(self, batch: list[tuple[str, bytes | None, Told]]) -> None:
+    def commit(self, batch: list[tuple[str, bytes | None, Told]], counted: bool = True) -> None:
         try:
-            self.store.put([(key, value) for key, value, _ in batch])
+            self.store.put([(key, value) for key, value, _ in batch if key])
             self.weak, durable = False, True
         except (Full, Faulted):
             self.weak, durable = True, False
         self.groups, self.put_in = self.groups + 1, self.put_in + len(batch)
+        with self.pen:
+            self.held -= counted * sum(len(key) + len(value or b"") for key, value, _ in batch)
         for _, _, told in batch:
             told(durable)
 
-    def close(self) -> None:
-        """All that is queued is made durable first."""
-        self.queue.put(None)
-        self.thread.join()
+    def close(self, patience: float | None = None) -> bool:
+        """All that is queued is made durable first, for so many seconds at the most; whether it was."""
+        try:
+            self.queue.put(None, timeout=patience)
+        except queue.Full:
+            return False
+        self.thread.join(patience)
+        return not self.thread.is_alive()
--- a/gullyoke/store/disk.py
+++ b/gullyoke/store/disk.py
@@ -1,6 +1,7 @@
 """The few things that the store asks of a folder, and a real folder that does them."""
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import pathlib
@@ -20,15 +21,18 @@
     def shut(self, name: str) -> None: ...
     def remove(self, name: str) -> None: ...
     def sync_folder(self) -> None: ...
+    def free(self) -> tuple[int, int]: ...
 
 
 class Disk:
-    """A folder, made if it is not there, with a lock against a second process. Raises `BlockingIOError` where
-    another has it. Table: `open`, the files that are appended to; the store closes all but one."""
+    """A folder, made if it is not there unless `made` is False, with a lock against a second process. Raises
+    `BlockingIOError` where another has it. Table: `open`, the files that are written to; the store closes all
+    but one."""
 
-    def __init__(self, folder: str | os.PathLike, locked: bool = True) -> None:
+    def __init__(self, folder: str | os.PathLike, locked: bool = True, made: bool = True) -> None:
         self.folder = pathlib.Path(folder)
-        self.folder.mkdir(parents=True, exist_ok=True)
+        if made:
+            self.folder.mkdir(parents=True, exist_ok=True)
         self.open: dict[str, int] = {}
         self.lock = None
         if locked:
@@ -68,6 +72,27 @@
             while sent < len(data):
                 sent += os.write(self.open[name], view[sent:])
 
+    def make(self, name: str, size: int) -> None:
+        """A file of so many bytes whose room is taken now, whatever it held; it is written in place."""
+        number = os.open(self.folder / name, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            os.posix_fallocate(number, 0, size)
+            os.fsync(number)
+        finally:
+            os.close(number)
+        self.sync_folder()
+
+    def write_at(self, name: str, at: int, data: bytes) -> None:
+        if name not in self.open:
+            self.open[name] = os.open(self.folder / name, os.O_WRONLY)
+        if os.pwrite(self.open[name], data, at) < len(data):
+            raise OSError(errno.EIO, "a write was cut short")
+
+    def free(self) -> tuple[int, int]:
+        """Bytes of the disk that are left to us, and all of its bytes."""
+        found = os.statvfs(self.folder)
+        return found.f_bavail * found.f_frsize, found.f_blocks * found.f_frsize
+
     def sync(self, name: str) -> None:
         os.fsync(self.open[name])
 
--- a/gullyoke/store/log.py
+++ b/gullyoke/store/log.py
@@ -6,7 +6,7 @@
 
 from gullyoke.store.disk import Files
 from gullyoke.store.plan import Plan
-from gullyoke.store.record import GONE, PUT, Found, Record, pack, scan, unpack
+from gullyoke.store.record import FORMAT, GONE, HEADER, PUT, Found, Record, header, pack, scan, unpack
 
 NAME = re.compile(r"([0-9]{10})\.seg")
 
@@ -20,17 +20,21 @@
     may not be there after a crash; the caller's batch is not in force."""
 
 
+class Newer(OSError):
+    """A later release wrote it. Nothing of it is read, and nothing is written to it."""
+
+
 class Store:
     """Opened on a folder, whatever state that is in. Counts what it met: `dropped` bytes that were no whole
-    record, `faults` of the disk.
+    record, `faults` of the disk; `format`, the oldest of its segments.
 
     Never appends behind what an earlier life wrote: each start begins a segment, so that a torn end stays an
-    end. Raises `OSError` only where the folder can't be read or written at all."""
+    end. Raises `OSError` only where the folder can't be read or written at all, or is `Newer`."""
 
     def __init__(self, files: Files, roll: int = 2**22, quota: int = 2**28) -> None:
         self.files, self.plan = files, Plan(roll, quota)
         self.dropped = self.faults = self.compacted = 0
-        self.active: int | None = None
+        self.active, self.format = None, FORMAT
         for name in files.names():
             if match := NAME.fullmatch(name):
                 self._recover(int(match[1]), files.read(name))
@@ -38,12 +42,19 @@
 
     def _recover(self, number: int, data: bytes) -> None:
         self.plan.begin(number)
+        format_ = 1
         for found in scan(data):
-            if isinstance(found, Found):
+            if isinstance(found, Found) and found.record.kind == HEADER:
+                format_ = found.record.seq
+                if format_ > FORMAT:
+                    raise Newer(f"{name_of(number)} is of format {format_}; {FORMAT} is the newest known")
+                self.plan.dropped(number, found.size)
+            elif isinstance(found, Found):
                 self.plan.note(found.record, number, found.at, found.size)
             else:
                 self.dropped += found
                 self.plan.dropped(number, found)
+        self.format = min(self.format, format_)
 
     # Reading.
 
@@ -108,6 +119,8 @@
         self.files.create(name_of(number))
         self.plan.begin(number)
         self.active = number
+        self.files.append(name_of(number), header())  # made durable with the first batch
+        self.plan.dropped(number, len(header()))
         self.files.sync_folder()
 
     def _close(self, unknown: int) -> None:
@@ -118,11 +131,12 @@
 
     # Compaction.
 
-    def compact(self, most: int = 1) -> int:
+    def compact(self, most: int = 1, eager: bool = False) -> int:
         """Copy the live records of the oldest segments forward and remove these, `most` of them where that is
-        due; how many it were. A fault of the disk leaves all as it is."""
+        due, or where anything is dead if `eager`; how many it were. A fault of the disk leaves all as it
+        is."""
         done = 0
-        while done < most and (oldest := self.plan.to_compact(self.active or -1)) is not None:
+        while done < most and (oldest := self.plan.to_compact(self.active or -1, eager)) is not None:
             try:
                 records = []
                 for key in self.plan.kept(oldest):
--- a/gullyoke/store/plan.py
+++ b/gullyoke/store/plan.py
@@ -5,6 +5,8 @@
 
 from gullyoke.store.record import GONE, Record
 
+LITTLE = 256                           # dead bytes of a segment that are not worth a copy
+
 
 class Place(NamedTuple):
     """Where a key's newest record lies. `gone` for a key that was taken out: kept while an older one may lie
@@ -74,12 +76,15 @@
     def rolls(self, segment: int, size: int) -> bool:
         return self.segments[segment].size + size > self.roll and self.segments[segment].size > 0
 
-    def to_compact(self, active: int) -> int | None:
+    def to_compact(self, active: int, eager: bool = False) -> int | None:
         """The segment whose live records are copied forward next: always the oldest, so that the end of a key
-        can be forgotten with it; None while little is dead and all is within the quota."""
+        can be forgotten with it; None while little is dead and all is within the quota, or next to
+        nothing is dead in what is closed if `eager`."""
         closed = [n for n in self.segments if n != active]
         if not closed:
             return None
+        if eager and any(self.segments[n].size - self.segments[n].live > LITTLE for n in closed):
+            return min(closed)
         total, live = self.total(), self.live()
         if total - live <= self.slack * max(total, self.roll) and total <= self.quota:
             return None
--- a/gullyoke/store/record.py
+++ b/gullyoke/store/record.py
@@ -14,7 +14,8 @@
 MARK = b"\xf5gly"
 HEAD = struct.Struct("<4sIBI")         # mark, size, kind, checksum
 SUMMED = struct.Struct("<IB")
-PUT, GONE = 1, 2                       # kinds
+PUT, GONE, HEADER = 1, 2, 3            # kinds
+FORMAT = 2                             # of a segment that begins with a header; 1 had none
 LARGEST = 2**24                        # bytes of a payload; more is taken for a spoilt size
 
 _encode, _decode = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(tuple[int, str, bytes]).decode
@@ -49,7 +50,7 @@
         return None
     mark, size, kind, summed = HEAD.unpack_from(data, at)
     end = at + HEAD.size + size
-    if mark != MARK or kind not in (PUT, GONE) or size > LARGEST or end > len(data):
+    if mark != MARK or kind not in (PUT, GONE, HEADER) or size > LARGEST or end > len(data):
         return None
     payload = data[at + HEAD.size:end]
     if google_crc32c.extend(google_crc32c.value(SUMMED.pack(size, kind)), payload) != summed:
@@ -61,6 +62,11 @@
     return Found(Record(seq, key, value, kind), at, end - at)
 
 
+def header() -> bytes:
+    """What a segment begins with: a record of a kind of its own that bears the format in its sequence."""
+    return pack(Record(FORMAT, "", b"", HEADER))
+
+
 def scan(data: bytes) -> Iterator[Found | int]:
     """All that is whole, in its order; a number stands for so many bytes that are not."""
     at = 0
--- /dev/null
+++ b/gullyoke/store/watch.py
@@ -0,0 +1,138 @@
+"""One folder's disk under watch: every call on it is timed and its faults are told, room is looked at, and
+one that is not well is tried now and then. What that means is decided in gullyoke/durable/condition.py."""
+from __future__ import annotations
+
+import errno
+import threading
+import time
+from collections.abc import Callable
+from contextlib import contextmanager
+from typing import Any
+
+from gullyoke.core import clock
+from gullyoke.core.book import Book, log, pairs
+from gullyoke.durable.condition import BAD, Condition, State, Turn
+from gullyoke.store import disk
+
+LOOK = 0.25                            # seconds between looks
+TRIAL, TRIED = "trial", 16 * 1024      # a file, and the bytes that it is tried with
+CALLS = ("names", "read", "read_at", "create", "append", "sync", "shut", "remove", "sync_folder", "make",
+         "write_at", "free")
+
+
+class Watch:
+    """`files` gives what a store calls. `heed` hears each turn, on whatever thread came to see it, and must
+    not block. One thread; it ends with `end`, or with the process should the disk hang."""
+
+    def __init__(self, folder: str, book: Book, draw: Callable[[], float], quota: int | None = None) -> None:
+        self.folder, self.book, self.quota = folder, book, quota
+        self.lock, self.condition = threading.RLock(), Condition(clock.now(), draw)
+        self.condition.heed.append(self.turned)
+        self.heed: list[Callable[[Turn], None]] = []
+        self.ended = False
+        self.used: Callable[[], int] = lambda: 0      # bytes of the quota that are taken
+
+    def start(self) -> None:
+        threading.Thread(target=self.run, name="disk", daemon=True).start()
+
+    def files(self, at: str, locked: bool = True, made: bool = True) -> Files:
+        """A folder below, or the folder itself."""
+        with self.timed("open"):
+            return Files(disk.Disk(at, locked, made), self)
+
+    # What is asked.
+
+    def state(self) -> State:
+        with self.lock:
+            return self.condition.state(clock.now())
+
+    def takes(self) -> bool:
+        """Whether a promise may be asked of it now."""
+        with self.lock:
+            return self.condition.takes(clock.now())
+
+    # What is seen.
+
+    @contextmanager
+    def timed(self, what: str, trial: bool = False):
+        """A call on the disk, from its beginning to its end."""
+        with self.lock:
+            number = self.condition.began(clock.now(), what)
+        fault = None
+        try:
+            yield
+        except OSError as found:
+            fault = found.errno or errno.EIO
+            raise
+        finally:
+            with self.lock:
+                self.condition.ended(clock.now(), number, fault, trial)
+
+    def turned(self, turn: Turn) -> None:
+        """Called under the lock."""
+        self.book.add(f"disk.{turn.now.name.lower()}")
+        log.log(40 if turn.now in BAD else 30, "disk", extra=pairs(
+            folder=self.folder, state=turn.now.value, was=turn.was.value, why=turn.why))
+        for heed in self.heed:
+            heed(turn)
+
+    def run(self) -> None:
+        while not self.ended:
+            time.sleep(LOOK)
+            try:
+                self.look()
+            except OSError:
+                pass                                  # it was told
+            except Exception:
+                self.book.fault("disk")
+
+    def look(self) -> None:
+        with self.lock:
+            due = self.condition.trial(clock.now())
+            stuck = bool(self.condition.out) and self.condition.state(clock.now()) is State.STALLED
+        if stuck:
+            return                                    # it would hang as well
+        where = Files(disk.Disk(self.folder, False, False), self)
+        left, size = where.free()
+        share = left / max(1, size)
+        if self.quota:
+            share = min(1.0, left / self.quota, 1 - self.used() / self.quota)
+        with self.lock:
+            self.condition.room(clock.now(), max(0.0, share))
+            self.condition.state(clock.now())
+        if due:
+            self.try_it(where)
+
+    def try_it(self, where: Files) -> None:
+        """Write a little, durably, and take it away again."""
+        with self.timed("a trial", trial=True):
+            own = where.disk
+            if TRIAL in own.names():
+                own.remove(TRIAL)
+            try:
+                own.create(TRIAL)
+                own.append(TRIAL, bytes(TRIED))
+                own.sync(TRIAL)
+            finally:
+                own.shut(TRIAL)
+                if TRIAL in own.names():
+                    own.remove(TRIAL)
+
+    def end(self) -> None:
+        self.ended = True
+
+
+class Files:
+    """A `Disk` whose calls are timed."""
+
+    def __init__(self, own: Any, watch: Watch) -> None:
+        self.disk, self.watch = own, watch
+        for name in CALLS:
+            setattr(self, name, self.told(name, getattr(own, name)))
+        self.close = own.close
+
+    def told(self, name: str, call: Callable) -> Callable:
+        def timed(*given):
+            with self.watch.timed(name):
+                return call(*given)
+        return timed
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 import pathlib
 import queue
 import resource
+import shutil
 import signal
 import socket
 import struct
@@ -14,6 +15,8 @@
 import threading
 import time
 
+import msgspec
+
 from gullyoke.lab.ports import free
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -24,10 +27,12 @@
 
 def site(**over):
     """A configuration with the settings' own names; `over` changes a few of them."""
-    g = dict(timeout=60_000, target=20_000, fresh=0, grace=1000, idle=30_000, cores=2, stop="off")
+    g = dict(timeout=60_000, target=20_000, fresh=0, grace=1000, idle=30_000, cores=2, stop="off",
+             window=5000)
     g.update({key: over[key] for key in g if key in over})
     profiles = [{"Name": name, "ObjectiveUs": int(g["target"] * 1000), "DeadlineUs": int(g["timeout"] * 1000),
-                 "Importance": value, "Semantics": kind, "LateWorth": 0.2, "KeyTtlUs": 5_000_000}
+                 "Importance": value, "Semantics": kind, "LateWorth": 0.2,
+                 "KeyTtlUs": int(g["window"] * 1000)}
                 for name, kind, value, _, _ in HANDLERS]
     info = {"Cores": int(g["cores"]), "MemoryKb": 1e6, "Blowup": 4.0, "KeyKb": 10.0, "FreshStart": False,
             "StopMode": g["stop"], "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
@@ -257,7 +262,10 @@
     def start(self):
         self.configure_file()
         files = int(self.given.get("files", 1024))
-        extra = [".cli", "serve", "--operator", str(self.operator)] if self.wanted or self.rows else [""]
+        serve = ["serve", "--operator", str(self.operator)]
+        extra = [".cli", *serve] if self.wanted or self.rows else [""]
+        if "disk" in self.given:
+            extra = [".rig.faulty", f"{self.folder.name}/faults", *serve]
         self.process = subprocess.Popen(
             [sys.executable, "-m", "gullyoke" + extra[0], *extra[1:]], cwd=self.root, stderr=subprocess.PIPE,
             text=True, env=os.environ | {"NODE_CONFIG": self.config},
@@ -318,6 +326,9 @@
                 if name not in self.backends:
                     self.backends[name] = BackEnd()
             return
+        if who == "disk":
+            self.at_disk(*rest)
+            return
         if self.process is None:
             self.start()
         if who.rstrip("<").isdigit() or who.rstrip("<")[1:].isdigit() and who[0] in "su":
@@ -459,6 +470,26 @@
         self.process, self.engine.state, self.engine.notices = None, None, 0
         self.lines.clear()
 
+    def at_disk(self, *words):
+        """How the disk is from now on; what happens to the folder itself happens there."""
+        store = pathlib.Path(self.folder.name, "store")
+        if words[0] == "lost":
+            store.rename(store.with_name(f"lost{time.monotonic_ns()}"))
+        elif words[0] == "made":
+            store.mkdir()
+        elif words[0] == "copy":                      # for `restore`: the folder as it is now
+            shutil.copytree(store, store.with_name("copy"), dirs_exist_ok=True)
+        elif words[0] == "restore":
+            shutil.rmtree(store)
+            shutil.copytree(store.with_name("copy"), store)
+        elif words[0] == "mark":                      # by another name, or of a later format
+            from gullyoke.store import Disk, Store
+            files = Disk(store / "keys")
+            Store(files).put([("mark", msgspec.msgpack.encode([int(words[1]), words[2], 1, 0]))])
+            files.close()
+        else:
+            pathlib.Path(self.folder.name, "faults").write_text(" ".join(words))
+
     def at_log(self, *words):
         self.said(" ".join(words))
 
