--- a/gullyoke/emulator/day.py
+++ b/gullyoke/emulator/day.py
@@ -12,7 +12,7 @@
 
 class Work(NamedTuple):
     """A class of work. `work` is its mean time on a core of speed 1, drawn lognormal with `cv`; times in
-    microseconds; `calls` whether each run calls below once."""
+    microseconds; `calls` whether each run calls below once; `window`, of its keys where it is uniqued."""
     name: str
     share: float
     work: int
@@ -23,9 +23,11 @@
     late_share: float = 0.0
     calls: bool = False
     skip_share: float = 0.0
+    window: int = 0
 
     def handler(self) -> Handler:
-        return Handler(self.name, self.target, self.timeout, self.value, Kind.REPLAYABLE, self.late_share, 0,
+        return Handler(self.name, self.target, self.timeout, self.value,
+                       Kind.UNIQUED if self.window else Kind.REPLAYABLE, self.late_share, self.window,
                        self.calls, self.skip_share, 0.0)
 
 
--- a/gullyoke/features/fleet.py
+++ b/gullyoke/features/fleet.py
@@ -74,6 +74,8 @@
         self.number.keep(row.number)
         self.member = Member(clock.now(), row, wanted.seeds, chance)
         self.member.heed.append(self.changed)
+        self.link.told["disks"] = lambda now: {
+            folder: room.watch.state().value for folder, room in self.disks.rooms.items()}
         for part in self.parts:
             part.begin(self)
         self.link.begin(self.member)
--- a/gullyoke/features/memory.py
+++ b/gullyoke/features/memory.py
@@ -16,10 +16,12 @@
 from gullyoke.features.unit import Plain
 from gullyoke.operator.wanted import Kept
 from gullyoke.store import Committer, Store
+from gullyoke.store import cold as colds
 from gullyoke.store import remember as rules
 
 LOOK, KEEP = 500_000, 5_000_000       # microseconds between looks, and between snapshots
-LEARNED, STARTS = "learned", "starts"  # the keys
+COLD_LOOK = 50_000                     # and between looks while cold
+LEARNED, STARTS, COLD = "learned", "starts", "cold"    # the keys
 
 
 class Memory(Plain):
@@ -41,18 +43,20 @@
 
 
 class Remembered:
-    """Table: none; the store holds two rows."""
+    """Table: none but its curve's; the store holds three rows."""
 
     def __init__(self, room: Room, quota: int, stated: object, book: Book) -> None:
         self.stated, self.book, self.committer = rules.digest(stated), book, None
         self.room, folder = room, room.folder
         self.found, self.weight, self.starts = None, 0.0, rules.Starts()
+        self.cold, self.curve, self.step = None, colds.Curve(), -1
         self.usual: dict[str, float] = {}
         self.recalled, self.calm, self.kept, self.began = False, False, clock.now(), clock.now()
         try:
             store = Store(room.watch.files(folder), roll=max(4096, quota // 8), quota=quota)
             self.starts = rules.unpacked(store.get(STARTS), rules.Starts) or rules.Starts()
             self.found = rules.unpacked(store.get(LEARNED), rules.Learned)
+            self.cold = rules.unpacked(store.get(COLD), colds.Cold)
             verdict = rules.trust(self.found, self.stated, time.time(), self.starts)
             self.weight = verdict.weight
             self.committer = Committer(store)
@@ -67,6 +71,42 @@
         """From now on: recall once there is a learner, keep a snapshot now and then."""
         if self.committer is not None:
             timer.at(clock.now() + LOOK, lambda: self.look(desk, timer))
+            timer.at(clock.now() + COLD_LOOK, lambda: self.look_cold(desk, timer))
+
+    def look_cold(self, desk: Desk, timer: Timer) -> None:
+        """While the server is cold: usual times as they were then, by age; what this start is like is noted.
+        At the end of it that is kept."""
+        with desk.lock:
+            server = desk.server
+            if server is not None and not server.machine.fresh_start:
+                return                                # it began warm
+            age = clock.now() - server.guards.started if server is not None else 0
+            step = colds.step(age)
+            if server is not None and step != self.step:
+                if self.step < 0:
+                    self.follow(server)
+                self.step = step
+                if step is not None and colds.fit(self.cold, self.stated, self.starts):
+                    colds.recall(server, self.cold, age)
+                    self.book.add("memory.cold_recalled")
+        if step is not None:
+            timer.at(clock.now() + COLD_LOOK, lambda: self.look_cold(desk, timer))
+            return
+        with desk.lock:
+            del server.hold.ran                       # the class's own again
+            row = self.curve.taken(self.stated, time.time(), self.cold)
+        if row.costs:
+            self.put(COLD, rules.packed(row))
+
+    def follow(self, server) -> None:
+        """Each run's time is noted from now on, beside what the decisions make of it."""
+        ran, curve = server.hold.ran, self.curve
+
+        def noted(handler, took: int) -> None:
+            ran(handler, took)
+            curve.ran(server.now - server.guards.started, handler.name, took)
+
+        server.hold.ran = noted
 
     def look(self, desk: Desk, timer: Timer) -> None:
         timer.at(clock.now() + LOOK, lambda: self.look(desk, timer))
--- a/gullyoke/lab/world.py
+++ b/gullyoke/lab/world.py
@@ -137,8 +137,8 @@
     m, calls = day.machines, [w.calls for w in day.works]
     return {
         "Profiles": [{"Name": w.name, "ObjectiveUs": w.target, "DeadlineUs": w.timeout,
-                      "Importance": w.value, "Semantics": "repeatable", "LateWorth": w.late_share,
-                      "KeyTtlUs": 0} for w in day.works],
+                      "Importance": w.value, "Semantics": "by_key" if w.window else "repeatable",
+                      "LateWorth": w.late_share, "KeyTtlUs": w.window} for w in day.works],
         "FamilyInfo": {"Cores": m.cores, "MemoryKb": m.memory_kb, "Blowup": m.blowup, "KeyKb": 1.0,
                        "FreshStart": False, "StopMode": "off", "DependsOn": "one_for_all", "CallsOut": 50.0,
                        "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
@@ -161,12 +161,14 @@
         "settings": settings(day)})
 
 
-def asked(handler: str, number: int, caller: int, timeout: int, work: int, close: bool = False) -> bytes:
+def asked(handler: str, number: int, caller: int, timeout: int, work: int, close: bool = False,
+          key: str = "", again: bool = False) -> bytes:
     """A req as a gateway writes it; `timeout` and `work` in microseconds, `close` for a connection of its
-    own."""
+    own, `again` for a further try."""
     body = str(work).encode()
     return (f"POST /call/{handler} HTTP/1.1\r\nHost: origin.svc\r\n"
-            + ("Connection: close\r\n" if close else "")
+            + ("Connection: close\r\n" if close else "") + (f"Replay-Key: {key}\r\n" if key else "")
+            + ("Is-Retry: 1\r\n" if again else "")
             + f"Trace-Id: {number:016x}\r\nAccepted-At-Ms: {clock.unix_ms()}\r\nClient-No: {caller}\r\n"
             f"Reserve-Kb: 30.0\r\nMax-Wait-Ms: {timeout // 1000}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n").encode() + body
--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -13,7 +13,7 @@
 from gullyoke.emulator.day import Machines, drawn
 from gullyoke.rig import history
 from gullyoke.rig.faults import Faults
-from gullyoke.rig.load import WORK, Load
+from gullyoke.rig.load import KEYED, WORK, Load
 from gullyoke.rig.processes import DUTY, Process, Shared, text
 from gullyoke.rig.relay import Relay
 from gullyoke.rig.script import Script, Step
@@ -87,7 +87,8 @@
         """Raises `ChildProcessError` where the fleet does not come together."""
         script, self.shared = self.script, Shared(self.script)
         work = WORK._replace(work=int(script.work_ms * 1000), calls=bool(script.slots))
-        day = drawn((work,), Machines(servers=1, reading=1), 0.1, 1, script.seed)
+        works = (work, KEYED) if script.uniqued else (work,)
+        day = drawn(works, Machines(servers=1, reading=1), 0.1, 1, script.seed)
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
             (folder / "key").write_text(secrets.token_hex(32))
@@ -100,7 +101,8 @@
             for n, process in self.processes.items():
                 process.voters = voters
                 process.advertised, process.seeds, process.homes = self.relay.advertised[n], seeds, homes
-            self.load = Load(list(self.processes.values()), script.load, int(script.work_ms * 1000))
+            self.load = Load(list(self.processes.values()), script.load, int(script.work_ms * 1000),
+                             script.uniqued)
             self.relay.start()
             try:
                 return self._run()
@@ -177,7 +179,7 @@
             self.shared.resource.late = float(step.words[1])
         elif step.what == "disk":
             for name in self.named(step.words[0]):
-                self.processes[name].disk(step.words[1])
+                self.processes[name].disk(*step.words[1:])
         elif step.what == "holder":
             self.happen(step._replace(what=step.words[0], words=(self.holder(), *step.words[1:])))
         elif step.what == "hand-over":
@@ -283,6 +285,11 @@
         """Each of these by the roll, once."""
         return all(self.rolls.count(name) == 1 for name in self.script.chosen(words))
 
+    def disks(self, who: str, *words: str) -> bool:
+        """All folders of these are so."""
+        found = [(self.views.get(n) or {}).get("disks", {}) for n in self.named(who)]
+        return all(one and set(one.values()) == {" ".join(words)} for one in found)
+
     def news(self, what: str) -> bool:
         """All servers take the dependency for dead, or none does."""
         found = [p.asked("duties") for p in self.processes.values() if p.up()]
@@ -410,6 +417,10 @@
                 Held("no fault of our own", not faults, 0.0)]
         if not self.shared.back_ends:                 # there a replayable req that was lost may run again
             held.append(Held("no req run twice", twice == 0, 0.0))
+        if self.script.uniqued:
+            again = sum(n > 1 for p in self.processes.values() for n in p.keyed.values())
+            held += [Held(f"no key run twice ({again})" if again else "no key run twice", not again, 0.0),
+                     Held("no outcome that was told is lost", not rows["lost"], 0.0)]
         if self.script.voters:
             wrong = history.faults(self.shared.resource.acts)
             held.append(Held("no two acted under one epoch, none after a newer one"
--- a/gullyoke/rig/processes.py
+++ b/gullyoke/rig/processes.py
@@ -13,6 +13,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 
 from gullyoke.emulator.day import Day
 from gullyoke.lab import usage
@@ -22,6 +23,7 @@
 from gullyoke.rig.standins import BackEnd, Below, Resource
 
 DUTY = "play"                          # the application's duty that plays have
+UNIQUED = "set"                        # the class of the reqs with keys
 COME_UP = 20.0                         # seconds for a process to answer its check
 
 
@@ -30,15 +32,19 @@
 
 
 class Counting(Engine):
-    """Counts how often each req was begun: twice would be a rule broken."""
+    """Counts how often each req was begun, and by `keyed` each key, over all engines of a member: twice would
+    be a rule broken. A key's reqs have all but the last three bits of their ids in common."""
 
-    def __init__(self, cores: int, calls: set[str]) -> None:
+    def __init__(self, cores: int, calls: set[str], keyed: Counter[int]) -> None:
         self.begun: dict[str, int] = {}
+        self.keyed = keyed
         super().__init__(cores, calls)
 
     def message(self, link, file, words: list[str]) -> None:
         if words[0] == "RUN":
             self.begun[words[1]] = self.begun.get(words[1], 0) + 1
+            if words[2] == UNIQUED:
+                self.keyed[int(words[1], 16) >> 3] += 1
         super().message(link, file, words)
 
 
@@ -50,11 +56,13 @@
         self.shared, self.homes = shared, {}          # addresses of those who lend, by name
         self.voters: dict[str, str] = {}
         self.listen, self.status, self.members = free(), free(), free()
+        self.faults = folder / f"{name}-faults"       # what its disks do (gullyoke/rig/faulty.py)
         self.advertised = self.members
         self.seeds: list[str] = []
         self.engine: Counting | None = None
         self.child: subprocess.Popen | None = None
         self.starts, self.codes = 0, []
+        self.keyed: Counter[int] = Counter()          # runs by key; a play is short
         self.lines: list[dict] = []                   # the log's, as they came; a play is short
         self.asked_to_end = False
 
@@ -65,13 +73,18 @@
         store = self.folder / f"{self.name}-store"
         store.mkdir(exist_ok=True)
         path.write_text(
-            f'log {{ form: JSON }}\nstore {{ folder: "{store}" quota_mb: 1 }}\n'
+            f'log {{ form: JSON }}\nstore {{ folder: "{store}" quota_mb: 1 {self.keys()}}}\n'
             f'fleet {{\n  name: "rig"\n  listen: "{text(self.members)}"\n'
             f'  advertise: "{text(self.advertised)}"\n{seeds}\n  zone: "{self.script.zone(self.name)}"\n'
             f'  key_file: "{self.folder}/key"\n  status: "{text(self.status)}"\n'
             f'  size: true\n  heed: true\n{self.shares()}}}\n{self.pool()}{self.duties()}')
         return path
 
+    def keys(self) -> str:
+        if not self.script.uniqued:
+            return ""
+        return f"keys {{ without: {'GO_ON' if self.script.go_on else 'SHED'} }} "
+
     def shares(self) -> str:
         homes = "".join(f'    home {{ name: "{name}" address: "{at}" }}\n' for name, at in self.homes.items())
         return f"  shares {{\n{homes}    slots: {self.script.slots} largest: {self.script.members}\n  }}\n" \
@@ -100,15 +113,17 @@
     def start(self) -> None:
         if self.child is not None and self.child.poll() is None:
             return
-        self.engine = Counting(self.day.machines.cores, {w.name for w in self.day.works if w.calls})
+        self.engine = Counting(self.day.machines.cores, {w.name for w in self.day.works if w.calls},
+                               self.keyed)
         self.starts += 1
         seed = random.Random(f"{self.script.seed} {self.name} {self.starts}").getrandbits(64)
         path = self.folder / f"{self.name}.json"
         path.write_text(config(self.name, self.listen, (self.engine, self.shared.below, self.shared.names),
                                self.day, seed, stop_ms=1500, sockets=2048))
         self.asked_to_end = False
+        command = ["gullyoke.rig.faulty", str(self.faults)] if self.script.faulty() else ["gullyoke.cli"]
         self.child = subprocess.Popen(
-            [sys.executable, "-m", "gullyoke.cli", "serve", "--operator", str(self.operator())],
+            [sys.executable, "-m", *command, "serve", "--operator", str(self.operator())],
             stderr=subprocess.PIPE, text=True, env=os.environ | {"NODE_CONFIG": str(path)})
         threading.Thread(target=self.collect, args=(self.child,), daemon=True).start()
 
@@ -170,9 +185,10 @@
         """MB of memory that it has now."""
         return usage.resident(self.child.pid) / 1024
 
-    def disk(self, how: str) -> None:
-        """Its duties' folder: `lost` is a fresh one from its next start on, `ill` one that can't be written,
-        `well` one that can again."""
+    def disk(self, how: str, *more: str) -> None:
+        """Its duties' folder: `lost` is a fresh one from its next start on, `ill` one that can't be written;
+        all its folders: the words of gullyoke/rig/faulty.py; `well` all of it again."""
+        self.faults.write_text("well" if how in ("lost", "ill") else " ".join((how, *more)))
         folder = self.folder / f"{self.name}-duties"
         if how == "lost":
             folder.rename(self.folder / f"{self.name}-duties-{self.starts}")
--- a/gullyoke/rig/script.py
+++ b/gullyoke/rig/script.py
@@ -4,6 +4,7 @@
     up 4 slots 12 call_ms 100             # the first four at the start; slots below, shared by the fleet
     backends 8 subset 3 work_ms 20        # SCGI back ends in the engines' place
     voters 3 lease_ms 1500                # duties of one, with a resource that takes acts by their epoch
+    uniqued 0.3 go_on 0                   # of the load, with keys that are kept; go on where they can't be
     at 8 kill m1
     by 14 gone m1
     at 20 start m1
@@ -20,12 +21,12 @@
 FAULTS = {"kill": (1, 99), "down": (1, 99), "stop": (1, 99), "start": (1, 99), "pause": (2, 2), "cut": (3, 4),
           "heal": (0, 0), "loss": (1, 1), "delay": (2, 2), "double": (1, 1), "reorder": (1, 1),
           "rate": (2, 2), "calls": (1, 1), "lame": (1, 99), "well": (1, 99),
-          "late": (2, 2), "disk": (2, 2), "holder": (1, 2), "hand-over": (0, 1), "roll": (1, 3),
+          "late": (2, 2), "disk": (2, 3), "holder": (1, 2), "hand-over": (0, 1), "roll": (1, 3),
           "dead": (1, 1)}
 CHECKS = {"gone": (1, 99), "equal": (0, 0), "stage": (2, 2), "sees": (3, 3), "size": (2, 2),
           "lent": (1, 1), "even": (1, 1), "calm": (1, 1), "held": (0, 1), "moved": (0, 0), "nobody": (0, 0),
           "rolled": (0, 1), "news": (1, 1),
-          "restarted": (1, 99)}
+          "restarted": (1, 99), "disks": (2, 3)}
 NEVER = {"removed": (1, 99)}
 SPAN = re.compile(r"([mb])(\d+)\.\.\1(\d+)")
 
@@ -55,6 +56,8 @@
     work_ms: float
     voters: int
     lease_ms: float
+    uniqued: float
+    go_on: float
     faults: tuple[Step, ...]
     checks: tuple[Step, ...]
     never: tuple[Step, ...]
@@ -72,6 +75,10 @@
         first = self.at_first()
         return first[:5 if len(first) >= 5 else 3 if len(first) >= 3 else 1]
 
+    def faulty(self) -> bool:
+        """Whether disks are to fail."""
+        return any("disk" in (step.what, *step.words[:1]) for step in self.faults)
+
     def fault_of(self, check: Step) -> Step | None:
         """The fault that a check is on: the one that stands above it."""
         return max((f for f in self.faults if f.line < check.line), key=lambda f: f.line, default=None)
@@ -97,7 +104,8 @@
 def read(text: str) -> Script:
     """Raises `Misplayed` at the first line that can't be right."""
     head = {"members": 3.0, "zones": 1.0, "seed": 1.0, "load": 0.0, "up": 0.0, "slots": 0.0, "call_ms": 50.0,
-            "backends": 0.0, "subset": 0.0, "work_ms": 8.0, "voters": 0.0, "lease_ms": 1500.0}
+            "backends": 0.0, "subset": 0.0, "work_ms": 8.0, "voters": 0.0, "lease_ms": 1500.0,
+            "uniqued": 0.0, "go_on": 0.0}
     steps: dict[str, list[Step]] = {"at": [], "by": [], "never": []}
     end = 0.0
     for number, line in enumerate(text.splitlines(), 1):
@@ -124,6 +132,7 @@
     script = Script(int(head["members"]), int(head["zones"]), int(head["seed"]), head["load"],
                     int(head["up"]), int(head["slots"]), head["call_ms"], int(head["backends"]),
                     int(head["subset"]), head["work_ms"], int(head["voters"]), head["lease_ms"],
+                    head["uniqued"], head["go_on"],
                     tuple(sorted(steps["at"], key=lambda s: s.at)),
                     tuple(sorted(steps["by"], key=lambda s: s.at)), tuple(steps["never"]), max(end, last + 1))
     if not 1 <= script.members <= 50 or script.zones < 1 or script.end > 3600:
--- /dev/null
+++ b/gullyoke/store/cold.py
@@ -0,0 +1,82 @@
+"""A memory of cold starts: how long runs took by the age of the server, so that the next cold start knows
+what it is like. No I/O.
+
+What a warm server learned does not help a cold one (gullyoke/store/remember.py); what one learned while cold
+is of the same machine in the same state. Kept is the time that nine in ten runs did not exceed, by age in
+steps that double: a cold server does better to think itself slow than to begin what comes too late
+(docs/store.md has the figures, the mean's and other quantiles' beside them)."""
+from __future__ import annotations
+
+import statistics
+
+import msgspec
+
+from gullyoke.choice import Server
+from gullyoke.store.remember import STARTS, Starts
+
+EDGES = (500_000, 1_000_000, 2_000_000, 4_000_000, 8_000_000, 16_000_000)   # microseconds of age
+NINE_IN_TEN = 9                        # of ten
+SAMPLES = 64                           # that are kept of a step
+NEW = 0.5                              # what the newest start counts for against those before
+VERSION = 1
+
+
+class Cold(msgspec.Struct, frozen=True):
+    """`costs`: by handler, a time of runs for each step of EDGES, 0 where none was seen; microseconds."""
+    stated: int
+    at: float
+    costs: dict[str, list[float]]
+    version: int = VERSION
+
+
+def step(age: int) -> int | None:
+    """Which step an age is in; None once it is past all of them."""
+    return next((i for i, edge in enumerate(EDGES) if age < edge), None)
+
+
+class Curve:
+    """What one start is like. Table: `rows`, the last SAMPLES times that were seen in each step, by
+    handler."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, list[list[float]]] = {}
+
+    def ran(self, age: int, handler: str, took: float) -> None:
+        if (at := step(age)) is not None:
+            row = self.rows.setdefault(handler, [[] for _ in EDGES])[at]
+            row.append(took)
+            del row[:-SAMPLES]
+
+    def taken(self, stated: int, at: float, before: Cold | None) -> Cold:
+        """A snapshot, with those of earlier starts in it."""
+        old = before.costs if before is not None and before.stated == stated else {}
+        nothing = [0.0] * len(EDGES)
+        costs = {}
+        for name in self.rows.keys() | old.keys():
+            now = [nine_in_ten(row) for row in self.rows.get(name, [[] for _ in EDGES])]
+            costs[name] = [x + (was - x) * NEW if x and was else x or was
+                           for x, was in zip(now, old.get(name, nothing), strict=True)]
+        return Cold(stated, at, costs)
+
+
+def nine_in_ten(row: list[float]) -> float:
+    if len(row) < 2:
+        return sum(row)
+    return statistics.quantiles(row, n=10, method="inclusive")[NINE_IN_TEN - 1]
+
+
+def fit(found: Cold | None, stated: int, starts: Starts) -> bool:
+    """Whether a start may go by it: another machine's or other handlers' is none, nor is one under which
+    starts go ill again and again."""
+    return (found is not None and found.version == VERSION and found.stated == stated
+            and starts.unwell < STARTS)
+
+
+def recall(server: Server, found: Cold, age: int) -> None:
+    """Let the usual times be what they were at this age, for handlers that were seen then."""
+    if (at := step(age)) is None:
+        return
+    for h in server.hold.cost:
+        cost = found.costs.get(h.name, [0.0] * len(EDGES))[at]
+        if cost:
+            server.hold.cost[h] = cost
--- a/gullyoke/store/remember.py
+++ b/gullyoke/store/remember.py
@@ -106,11 +106,11 @@
     server.below.usual = server.below.lately = found.call * (weight > 0)
 
 
-def packed(row: Learned | Starts) -> bytes:
+def packed(row: msgspec.Struct) -> bytes:
     return msgspec.msgpack.encode(row)
 
 
-def unpacked(data: bytes | None, kind: type) -> Learned | Starts | None:
+def unpacked(data: bytes | None, kind: type) -> msgspec.Struct | None:
     """A row as it was kept; None where there is none, or it is of a form that is not known."""
     if data is None:
         return None
--- a/tests/store/test_remember.py
+++ b/tests/store/test_remember.py
@@ -5,6 +5,7 @@
 
 from gullyoke.emulator.day import SECOND, Machines, drawn
 from gullyoke.emulator.fleet import Running, deciding
+from gullyoke.store import cold
 from gullyoke.store import remember as r
 
 
@@ -65,6 +66,35 @@
         self.assertTrue(r.fit({"a": 250.0}, usual, True, False))
         self.assertEqual(r.settle({"a": 50.0}, usual), {"a": 50.0})
 
+    def test_cold(self):
+        """What nine in ten runs did not exceed at an age is what a next cold start begins with there,
+        together with what earlier ones had; not where other things were stated, and never once it is
+        warm."""
+        curve = cold.Curve()
+        for took in range(1, 101):
+            curve.ran(600_000, "box-view", took * 1000.0)
+            curve.ran(20_000_000, "box-view", 1.0)
+        self.assertEqual(len(curve.rows["box-view"][1]), cold.SAMPLES)
+        found = curve.taken(7, 1.0, None)
+        self.assertAlmostEqual(found.costs["box-view"][1], 93_700.0)
+        self.assertEqual(found.costs["box-view"][0], 0.0)
+        again = cold.Curve()
+        again.ran(600_000, "box-view", 33_700.0)
+        again.ran(100_000, "box-view", 5.0)
+        both = again.taken(7, 2.0, r.unpacked(r.packed(found), cold.Cold))
+        self.assertEqual([round(x) for x in both.costs["box-view"][:2]], [5, 63_700])
+        self.assertEqual(again.taken(8, 2.0, found).costs["box-view"][1], 33_700.0)
+        server = Running(drawn(W, Machines(servers=1), 1.5, SECOND, 2), deciding(False)).nodes[0].server
+        before = {h.name: cost for h, cost in server.hold.cost.items()}
+        cold.recall(server, both, 17_000_000)
+        self.assertEqual(before, {h.name: cost for h, cost in server.hold.cost.items()})
+        cold.recall(server, both, 700_000)
+        after = {h.name: cost for h, cost in server.hold.cost.items()}
+        self.assertEqual(after, before | {"box-view": both.costs["box-view"][1]})
+        self.assertTrue(cold.fit(both, 7, r.Starts(0)))
+        self.assertFalse(cold.fit(both, 8, r.Starts(0)) or cold.fit(both, 7, r.Starts(r.STARTS))
+                         or cold.fit(None, 7, r.Starts(0)))
+
 
 if __name__ == "__main__":
     unittest.main()
