--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -290,6 +290,11 @@
         found = [(self.views.get(n) or {}).get("disks", {}) for n in self.named(who)]
         return all(one and set(one.values()) == {" ".join(words)} for one in found)
 
+    def logged(self, who: str, *words: str) -> bool:
+        """Each of these has written a line of this event."""
+        return all(any(line.get("event") == " ".join(words) for line in self.processes[name].lines)
+                   for name in self.named(who))
+
     def news(self, what: str) -> bool:
         """All servers take the dependency for dead, or none does."""
         found = [p.asked("duties") for p in self.processes.values() if p.up()]
--- a/gullyoke/rig/processes.py
+++ b/gullyoke/rig/processes.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import resource
+import shutil
 import signal
 import socket
 import subprocess
@@ -187,7 +188,16 @@
 
     def disk(self, how: str, *more: str) -> None:
         """Its duties' folder: `lost` is a fresh one from its next start on, `ill` one that can't be written;
-        all its folders: the words of gullyoke/rig/faulty.py; `well` all of it again."""
+        all its folders: the words of gullyoke/rig/faulty.py; `well` all of it again. `copied` is a backup of
+        what it keeps, and `restored` that backup in its place, while the process is down."""
+        store, copy = self.folder / f"{self.name}-store", self.folder / f"{self.name}-copy"
+        if how == "copied":
+            shutil.copytree(store, copy)
+            return
+        if how == "restored":
+            shutil.rmtree(store)
+            shutil.copytree(copy, store)
+            return
         self.faults.write_text("well" if how in ("lost", "ill") else " ".join((how, *more)))
         folder = self.folder / f"{self.name}-duties"
         if how == "lost":
--- a/gullyoke/rig/script.py
+++ b/gullyoke/rig/script.py
@@ -26,7 +26,7 @@
 CHECKS = {"gone": (1, 99), "equal": (0, 0), "stage": (2, 2), "sees": (3, 3), "size": (2, 2),
           "lent": (1, 1), "even": (1, 1), "calm": (1, 1), "held": (0, 1), "moved": (0, 0), "nobody": (0, 0),
           "rolled": (0, 1), "news": (1, 1),
-          "restarted": (1, 99), "disks": (2, 3)}
+          "restarted": (1, 99), "disks": (2, 3), "logged": (2, 9)}
 NEVER = {"removed": (1, 99)}
 SPAN = re.compile(r"([mb])(\d+)\.\.\1(\d+)")
 
