--- a/gullyoke/durable/condition.py
+++ b/gullyoke/durable/condition.py
@@ -94,6 +94,8 @@
             self._worse(now, State.STALLED, f"{stuck} has not come back")
         found = max([self.bad or State.WELL, self._by_room()], key=ORDER.index)
         if found is not self.told:
+            if self.told in BAD and found not in BAD:
+                self.returned = now
             turn = Turn(now, self.told, found, self._why(found))
             self.told = found
             for heed in self.heed:
@@ -115,9 +117,6 @@
         self.pause = min(TRIAL_LONGEST, 2 * self.pause)
         return True
 
-    def full(self) -> bool:
-        return self.told in (State.NEAR_FULL, State.FULL)
-
     def _by_room(self) -> State:
         low = LOOSE if self.told is State.FULL else TIGHT
         near = CLEAR if self.told in (State.NEAR_FULL, State.FULL) else NEAR
--- a/gullyoke/durable/ledger.py
+++ b/gullyoke/durable/ledger.py
@@ -9,6 +9,8 @@
 through in gullyoke/walk/notes.py."""
 from __future__ import annotations
 
+import heapq
+from collections import deque
 from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -64,15 +66,19 @@
 
 
 class Ledger:
-    """Table: `rows`, one a key, `most` bytes of notes and results together: no req that needs another is run
+    """Tables: `rows`, one a key, `most` bytes of notes and results together: no req that needs another is run
     with a promise. A row leaves when its window is over (`expire`), or when its req was left unrun and that
-    is on the disk. `out`, writes on their way, by number, in the order of asking; each leaves with the disk's
-    word. `bare` counts runs without a promise, `lost` ends that are not on the disk."""
+    is on the disk. `ends`, a heap of rows by the ends of their windows, which they leave then; `results`,
+    keys in the order of their ends, left when the result is given up or the window is over. `out`, writes on
+    their way, by number, in the order of asking; each leaves with the disk's word. `bare` counts runs without
+    a promise, `lost` ends that are not on the disk."""
 
     def __init__(self, life: int, without: Without, most: int) -> None:
         self.life, self.without, self.most, self.waits = life, without, most, Waits()
         self.rows: dict[str, Row] = {}
         self.out: dict[int, str] = {}
+        self.ends: list[tuple[int, str]] = []
+        self.results: deque[str] = deque()
         self.bytes = self.count = 0
         self.bare = self.lost = self.refused = 0
 
@@ -87,6 +93,8 @@
             if self.bytes + note.size() > self.most:  # the result goes, the note stays
                 note = note._replace(status=0, fields=(), body=b"")
             self._put_row(key, Row(stage, recovered(note, now), 0, now, now))
+            if note.status:
+                self.results.append(key)
         return past
 
     # A req's path.
@@ -142,6 +150,7 @@
                 row.stage = Stage.NOTED
                 return self._unended(row, put.key)
             row.stage = Stage.ENDED
+            self.results.append(put.key)
             told, row.told = row.told, True
             return None if told else Act(Do.END, put.key)
         if row.stage is Stage.LEFT and put.note is None:
@@ -196,10 +205,20 @@
 
     def expire(self, now: int) -> list[str]:
         """The keys whose window is over; with them go their records. One that is running stays until it
-        has ended."""
-        past = [key for key, row in self.rows.items() if now > row.note.until and self._over(row)]
-        for key in past:
-            self._drop(key)
+        has ended, and is looked at again a second later."""
+        past = []
+        while self.ends and self.ends[0][0] < now:
+            until, key = heapq.heappop(self.ends)
+            row = self.rows.get(key)
+            if row is None or row.note.until > until and row.note.until >= now:
+                continue                              # gone, or noted anew since
+            if self._over(row):
+                self._drop(key)
+                past.append(key)
+            else:
+                heapq.heappush(self.ends, (now + 1_000_000, key))
+        while self.results and self.results[0] not in self.rows:
+            self.results.popleft()
         return past
 
     def _over(self, row: Row) -> bool:
@@ -221,15 +240,16 @@
     def shrink(self, now: int, need: int) -> list[Put]:
         """Results given up for so many bytes of room, the oldest first; their notes stay."""
         puts = []
-        for key, row in self.rows.items():
-            if need <= 0:
-                break
-            if row.stage is Stage.ENDED and row.note.status:
-                bare = row.note._replace(status=0, fields=(), body=b"")
-                freed = row.note.size() - bare.size()
-                need, self.bytes = need - freed, self.bytes - freed
-                row.note = bare
-                puts.append(self._write(now, key, bare))
+        while need > 0 and self.results:
+            key = self.results.popleft()
+            row = self.rows.get(key)
+            if row is None or row.stage is not Stage.ENDED or not row.note.status:
+                continue
+            bare = row.note._replace(status=0, fields=(), body=b"")
+            freed = row.note.size() - bare.size()
+            need, self.bytes = need - max(1, freed), self.bytes - freed
+            row.note = bare
+            puts.append(self._write(now, key, bare))
         return puts
 
     # Inside.
@@ -239,7 +259,8 @@
             self.refused += 1
             return Act(Do.UNRUN, key)
         self.bare += 1
-        self._put_row(key, Row(Stage.BARE, note, 0, now, due))
+        if self.bytes + note.size() <= self.most:     # else it runs and is not known afterwards
+            self._put_row(key, Row(Stage.BARE, note, 0, now, due))
         return Act(Do.RUN, key)
 
     def _unended(self, row: Row, key: str) -> Act | None:
@@ -267,6 +288,7 @@
         self._drop(key)
         self.rows[key] = row
         self.bytes += row.note.size()
+        heapq.heappush(self.ends, (row.note.until, key))
 
     def _drop(self, key: str) -> None:
         row = self.rows.pop(key, None)
--- a/gullyoke/durable/note.py
+++ b/gullyoke/durable/note.py
@@ -7,7 +7,7 @@
 from enum import Enum, IntEnum
 from typing import NamedTuple
 
-BARE = 64                              # bytes of a note without a result, about
+BARE = 700                             # bytes of a note without a result in memory, with its tables
 
 
 class Phase(IntEnum):
@@ -27,7 +27,7 @@
     body: bytes = b""
 
     def size(self) -> int:
-        """What it takes on the disk, about, in bytes."""
+        """What it takes in memory, about, in bytes; on the disk it is less."""
         return BARE + len(self.body) + sum(len(name) + len(value) + 4 for name, value in self.fields)
 
 
--- a/gullyoke/durable/rooms.py
+++ b/gullyoke/durable/rooms.py
@@ -24,6 +24,8 @@
 
 # The share of the quota that each kind may have; promises stand beside it, in cells of their own.
 SHARES = {Kind.MEMORY: 0.05, Kind.RECORD: 0.15, Kind.RESULTS: 0.5, Kind.NOTES: 0.3}
+GIVEN = (Kind.MEMORY, Kind.RECORD, Kind.RESULTS)       # what may be given up, the least worth first
+STEP = 0.02                            # of the quota, each second that the disk is near full
 STILL = {State.WELL: Kind.MEMORY, State.NEAR_FULL: Kind.RESULTS, State.FULL: Kind.PROMISES,
          State.FAILING: Kind.PROMISES, State.STALLED: Kind.PROMISES, State.READ_ONLY: Kind.PROMISES,
          State.GONE: Kind.PROMISES}    # the least kind that is still written in a state
@@ -36,7 +38,7 @@
 
 
 class Rooms:
-    """Bytes by kind. `quota` is what all but promises may take."""
+    """Bytes by kind, as whoever keeps them says (`used`). `quota` is what all but promises may take."""
 
     def __init__(self, quota: int) -> None:
         self.quota = quota
@@ -45,28 +47,29 @@
     def most(self, kind: Kind) -> int:
         return int(SHARES[kind] * self.quota)
 
-    def note(self, kind: Kind, size: int) -> None:
-        """So many bytes more are kept, or fewer."""
-        self.used[kind] = max(0, self.used[kind] + size)
-
     def writes(self, kind: Kind, state: State) -> bool:
         """Whether this kind is written at all while the disk is so."""
         return kind >= STILL[state]
 
-    def fits(self, kind: Kind, size: int) -> bool:
-        return self.used[kind] + size <= self.most(kind)
+    def left(self) -> float:
+        """The share of the quota that is left."""
+        return max(0.0, 1 - sum(self.used.values()) / max(1, self.quota))
 
-    def goes(self, need: int) -> list[Goes]:
-        """What to give up for so many bytes, the least worth first; less than that where there is no more.
-        Notes in force are not among it."""
-        out = []
-        for kind in (Kind.MEMORY, Kind.RECORD, Kind.RESULTS):
+    def over(self) -> list[Goes]:
+        """What is to go because its kind has more than its share."""
+        return [Goes(kind, size - self.most(kind)) for kind, size in self.used.items()
+                if kind in GIVEN and size > self.most(kind)]
+
+    def goes(self, state: State) -> list[Goes]:
+        """What to give up now, the least worth first: near full a STEP of the quota at a time, else what is
+        over its share. Notes in force are not among it; where nothing can be written nothing can be taken
+        out either."""
+        if state is not State.NEAR_FULL:
+            return self.over() if state is State.WELL else []
+        out, need = [], max(1, int(STEP * self.quota))
+        for kind in GIVEN:
             part = min(need, self.used[kind])
             if part > 0:
                 out.append(Goes(kind, part))
                 need -= part
         return out
-
-    def left(self) -> float:
-        """The share of the quota that is left."""
-        return max(0.0, 1 - sum(self.used.values()) / max(1, self.quota))
--- a/gullyoke/features/charges.py
+++ b/gullyoke/features/charges.py
@@ -315,6 +315,8 @@
         super().__init__(fleet, duties)
         self.lines = Lines(os.path.join(room.folder, "record.jsonl"), LONGEST, room.watch,
                            lambda: room.writes(Kind.RECORD))
+        room.size[Kind.RECORD] = self.lines.size
+        room.give[Kind.RECORD] = lambda size: self.lines.give()
         self.last, self.epoch, self.count = None, 0, 0
 
     def act(self, now: int, epoch: int) -> None:
--- a/gullyoke/features/disks.py
+++ b/gullyoke/features/disks.py
@@ -2,20 +2,31 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
+from gullyoke.core import clock
 from gullyoke.core.book import Book
+from gullyoke.durable.condition import State
 from gullyoke.durable.rooms import Kind, Rooms
 from gullyoke.store.watch import Watch
 
+EACH = 1_000_000                       # microseconds between looks at who has how much
+
 
 class Room:
-    """A folder under watch, with what each kind may have of it."""
+    """A folder under watch, with what each kind may have of it. `size` and `give` are by kind: how many bytes
+    it takes, and giving up so many; `tidy` compacts what is dead. All are called by the watch's thread, and
+    may wait for the disk."""
 
     def __init__(self, folder: str, quota: int, book: Book) -> None:
-        self.folder, self.rooms = folder, Rooms(quota)
+        self.folder, self.rooms, self.book = folder, Rooms(quota), book
         self.watch = Watch(folder, book, random.Random(folder).random, quota)
-        self.watch.used = lambda: sum(self.rooms.used.values())
-        self.started = False
+        self.watch.left = self.rooms.left
+        self.watch.looked = self.look
+        self.size: dict[Kind, Callable[[], int]] = {}
+        self.give: dict[Kind, Callable[[int], None]] = {}
+        self.tidy: list[Callable[[], None]] = []
+        self.started, self.next = False, 0
 
     def start(self) -> None:
         if not self.started:
@@ -26,6 +37,22 @@
         """Whether this kind is written now."""
         return self.rooms.writes(kind, self.watch.state())
 
+    def look(self, state: State) -> None:
+        """What is dead goes first, then what is worth least."""
+        now = clock.now()
+        if now < self.next:
+            return
+        self.next = now + EACH
+        for kind, size in self.size.items():
+            self.rooms.used[kind] = size()
+        if state is State.NEAR_FULL:
+            for tidy in self.tidy:
+                tidy()
+        for one in self.rooms.goes(state):
+            if one.kind in self.give:
+                self.book.add(f"disk.gave_{one.kind.name.lower()}")
+                self.give[one.kind](one.bytes)
+
 
 class Disks:
     """Table: `rooms`, one a folder; as many as the file names."""
--- a/gullyoke/features/keys.py
+++ b/gullyoke/features/keys.py
@@ -95,6 +95,10 @@
             log.error("keys not read yet", extra=pairs(folder=self.kept.folder))
 
     def start(self) -> None:
+        self.room.size |= {What.NOTES: lambda: self.ledger.sizes()[0],
+                           What.RESULTS: lambda: self.ledger.sizes()[1]}
+        self.room.give[What.RESULTS] = self.give
+        self.room.tidy.append(self.tidy)
         self.room.start()
         self.room.watch.heed.append(self.turned)
         self.house.timer.at(clock.now() + SWEEP, self.sweep)
@@ -186,7 +190,11 @@
         self.state(not bad and self.committer is not None)
         if now >= self.next:
             self.next = now + LOOK
-            self.look(now, bad)
+            if not bad:
+                with self.promised.pen:
+                    for key in self.ledger.expire(now):
+                        self.put(key, None)
+            self.compare(now)
 
     def state(self, fit: bool) -> None:
         """What the decisions go by."""
@@ -196,23 +204,18 @@
             for handler in self.house.told.facts.handlers:
                 handler.open = not (shut and handler.kind is Kind.UNIQUED)
 
-    def look(self, now: int, bad: bool) -> None:
-        """What is past goes; near full what is dead goes first, then results."""
-        rooms, ledger = self.room.rooms, self.ledger
+    def give(self, size: int) -> None:
+        """Results go, the oldest first."""
         with self.promised.pen:
-            if not bad:
-                for key in ledger.expire(now):
-                    self.put(key, None)
-            rooms.used[What.NOTES], rooms.used[What.RESULTS] = ledger.sizes()
-        if self.room.watch.state() is State.NEAR_FULL and self.committer is not None:
+            puts = self.ledger.shrink(clock.now(), size)
+            for put in puts:
+                self.put(put.key, packed(put.note),
+                         lambda durable, put=put: self.promised.told(put, durable))
+        self.house.book.add("keys.results_dropped", len(puts))
+
+    def tidy(self) -> None:
+        if self.committer is not None:
             self.committer.tidy()
-            dropped = 0
-            with self.promised.pen:
-                for put in ledger.shrink(now, rooms.most(What.RESULTS) // 8):
-                    dropped += self.put(put.key, packed(put.note), lambda durable, put=put:
-                                        self.promised.told(put, durable))
-            self.house.book.add("keys.results_dropped", dropped)
-        self.compare(now)
 
     def turned(self, turn: Turn) -> None:
         """A folder that was gone and is back has nothing of what lay in it, or is another's. Called under the
--- a/gullyoke/features/memory.py
+++ b/gullyoke/features/memory.py
@@ -38,6 +38,8 @@
         self.memory = Remembered(self.room, self.kept.quota, house.told.settings, house.book)
 
     def start(self) -> None:
+        self.room.size[Kind.MEMORY] = self.memory.size
+        self.room.give[Kind.MEMORY] = lambda size: self.memory.give()
         self.room.start()
         self.memory.watch(self.house.desk, self.house.timer)
 
@@ -139,6 +141,14 @@
             self.calm = True
             self.put(STARTS, rules.packed(rules.Starts()))
 
+    def size(self) -> int:
+        return self.committer.store.plan.live() if self.committer is not None else 0
+
+    def give(self) -> None:
+        """All of it: what a server remembers of usual times it can learn again."""
+        for key in (LEARNED, COLD):
+            self.committer.put(key, None)
+
     def put(self, key: str, data: bytes) -> None:
         if not self.room.writes(Kind.MEMORY):         # what is worth least is not written where room is short
             self.book.add("memory.skipped")
--- a/gullyoke/store/lines.py
+++ b/gullyoke/store/lines.py
@@ -27,6 +27,16 @@
         except queue.Full:
             self.faults, self.why = self.faults + 1, "the disk does not come back"
 
+    def size(self) -> int:
+        """Bytes of both files."""
+        return sum(os.path.getsize(path) for path in (self.path, self.path + ".1") if os.path.exists(path))
+
+    def give(self) -> None:
+        """The older file goes."""
+        with self.watch.timed("a line"):
+            if os.path.exists(self.path + ".1"):
+                os.remove(self.path + ".1")
+
     def run(self) -> None:
         while True:
             self.write(self.queue.get())
--- a/gullyoke/store/plan.py
+++ b/gullyoke/store/plan.py
@@ -64,10 +64,10 @@
         self.segments[segment].size += size
 
     def total(self) -> int:
-        return sum(s.size for s in self.segments.values())
+        return sum(s.size for s in list(self.segments.values()))
 
     def live(self) -> int:
-        return sum(s.live for s in self.segments.values())
+        return sum(s.live for s in list(self.segments.values()))     # also asked by another thread
 
     def fits(self, size: int) -> bool:
         """Whether so much more stays within the quota, once all that is dead is compacted away."""
--- a/gullyoke/store/watch.py
+++ b/gullyoke/store/watch.py
@@ -30,7 +30,8 @@
         self.condition.heed.append(self.turned)
         self.heed: list[Callable[[Turn], None]] = []
         self.ended = False
-        self.used: Callable[[], int] = lambda: 0      # bytes of the quota that are taken
+        self.left: Callable[[], float] = lambda: 1.0  # the share of the quota that is left
+        self.looked: Callable[[State], None] = lambda state: None     # after each look
 
     def start(self) -> None:
         threading.Thread(target=self.run, name="disk", daemon=True).start()
@@ -96,12 +97,13 @@
         left, size = where.free()
         share = left / max(1, size)
         if self.quota:
-            share = min(1.0, left / self.quota, 1 - self.used() / self.quota)
+            share = min(1.0, left / self.quota, self.left())
         with self.lock:
-            self.condition.room(clock.now(), max(0.0, share))
-            self.condition.state(clock.now())
+            self.condition.room(clock.now(), share)
+            state = self.condition.state(clock.now())
         if due:
             self.try_it(where)
+        self.looked(state)
 
     def try_it(self, where: Files) -> None:
         """Write a little, durably, and take it away again."""
--- a/gullyoke/walk/notes.py
+++ b/gullyoke/walk/notes.py
@@ -160,9 +160,9 @@
         rows = [(row.stage, row.told, seen(row.note), row.number - self.ledger.count,
                  self.now - row.began >= LONGEST) for row in self.ledger.rows.values()]
         queue = [(seen(put.note), put.number - self.ledger.count) for put in self.queue]
-        return (seen(self.disk), queue, rows, len(self.ledger.out), bool(self.ledger.bare), self.tries,
-                self.crashes, self.faults, self.shrinks, self.going, self.running, self.runs,
-                min(1, self.ended_well), "made" in self.told)
+        return (seen(self.disk), queue, rows, len(self.ledger.out), len(self.ledger.results),
+                bool(self.ledger.bare), self.tries, self.crashes, self.faults, self.shrinks, self.going,
+                self.running, self.runs, min(1, self.ended_well), "made" in self.told)
 
     def wrong(self) -> str | None:
         return self.fault or None
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -15,8 +15,8 @@
 from hypothesis import strategies as st
 
 from gullyoke.cli.main import main
-from gullyoke.store import Committer, Disk, Faulted, Full, Store
-from gullyoke.store.record import Found, Record, pack, scan
+from gullyoke.store import Committer, Disk, Faulted, Full, Newer, Store
+from gullyoke.store.record import HEADER, Found, Record, header, pack, scan
 
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -96,6 +96,22 @@
 
 
 class Stores(unittest.TestCase):
+    def test_formats(self):
+        """A folder of version 1, whose segments have no header, is read and gone on with; one of a later
+        version is refused, and nothing in it changes."""
+        old = Memory({"0000000001.seg": pack(Record(1, "a", b"1")) + pack(Record(2, "b", b"2"))})
+        store = Store(old)
+        self.assertEqual((store.format, dict(store.items()), store.dropped), (1, {"a": b"1", "b": b"2"}, 0))
+        store.put([("a", b"3")])
+        again = Store(Memory(old.files))
+        self.assertEqual((again.format, dict(again.items())), (1, {"a": b"3", "b": b"2"}))
+        self.assertEqual(Store(Memory({"0000000001.seg": header()})).format, 2)
+        later = Memory({"0000000001.seg": pack(Record(3, "", b"", HEADER)) + pack(Record(1, "a", b"1"))})
+        before = dict(later.files)
+        with self.assertRaises(Newer):
+            Store(later)
+        self.assertEqual(later.files, before)
+
     def test_crashes(self):
         """Power cut at every call, in every state it may leave, compaction included: what was acknowledged is
         there, nothing is half there, the store opens and goes on, and opens again."""
