--- a/gullyoke/rig/faulty.py
+++ b/gullyoke/rig/faulty.py
@@ -4,8 +4,8 @@
 
 The file holds one word, read again at each call, and none where it is missing: `full` (what needs new room
 does not fit), `failing` (an error of the device), `hang` (syncs and writes in place come back once the word
-changes), `slow MS`, `low BYTES` (so much is left), `read-only`, `gone`. Files that were made before go on being written in place on a full
-disk, as they do."""
+changes), `slow MS`, `low BYTES` (so much is left), `read-only`, `gone`. Files that were made before go on
+being written in place on a full disk, as they do."""
 from __future__ import annotations
 
 import errno
