Customers' quotas lent as rates among the servers of a fleet

By the fleet's size a customer that asks a few servers of many is beyond its share there while the rest of its quota is idle.

--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -20,6 +20,7 @@
 from gullyoke.emulator.beside import Beside, playing
 from gullyoke.emulator.bound import bound
 from gullyoke.emulator.kinds import KINDS, grown
+from gullyoke.emulator.quotas import asked
 from gullyoke.lab.compare import mean_of
 from gullyoke.peers.sharing import pack
 from gullyoke.rig.play import Play
@@ -142,6 +143,9 @@
             round(min(one.result() for one in row), 3) for row in use)
         for size in sizes:
             out[f"days_{size}"] = {kind: compared(plays, size, kind, bounds) for kind in KINDS}
+    out["quota_within"] = {
+        name: [round(asked(3, 40, hit, 0.9, lent, moves=moves).within, 3) for lent in (False, True)]
+        for name, hit, moves in (("4 of 40 asked", 4, False), ("moves", 4, True), ("all asked", 40, False))}
     out |= subsets()
     out["decision_us_a_req"] = round(cost(), 2)
     count, size = letters()
--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -668,7 +668,7 @@
         if req.customer is None:
             return
         row = self.quota[req.customer]
-        rate = req.customer.quota / max(1, self.fleet.size) / 1e6
+        rate = (req.customer.lent(self.now) or req.customer.quota / max(1, self.fleet.size)) / 1e6
         row[0] = min(max(8.0, rate * 2_000_000), row[0] + rate * (self.now - row[1]))
         row[1] = self.now
         req.over_share = row[0] < 1
--- /dev/null
+++ b/gullyoke/emulator/quotas.py
@@ -0,0 +1,73 @@
+"""A customer's quota among servers of the model: what of its reqs counts as within it, where each server goes
+by the fleet's size and where the quota is lent. All figures from here are simulated."""
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from gullyoke.emulator.shares import SECOND, Play, Process
+from gullyoke.together.fair import split
+from gullyoke.together.quotas import Quota, tokens
+
+FLOOR = 0.25
+
+
+class Bucket:
+    """What `Server.note_share` keeps of a customer on one server, in few words."""
+
+    def __init__(self) -> None:
+        self.saved, self.at = 8.0, 0
+
+    def within(self, now: int, rate: float) -> bool:
+        self.saved = min(max(8.0, 2 * rate), self.saved + rate * (now - self.at) / SECOND)
+        self.at = now
+        inside = self.saved >= 1
+        self.saved -= inside
+        return inside
+
+
+class Counted(NamedTuple):
+    """Of the customer's reqs the share that was within its quota; `over`, the most that the parts of all
+    servers came to over the quota, at any look; `rate`, what was let in over the quota's rate."""
+    within: float
+    over: float
+    rate: float
+
+
+def asked(seed: int, servers: int, hit: int, load: float, lent: bool, quota: float = 400.0,
+          span: int = 30 * SECOND, moves: bool = False, loss: float = 0.0) -> Counted:
+    """A customer asks `hit` of `servers` at `load` times its quota for `span`, after a while in which the
+    homes come to hold their names; half way it asks others where it `moves`."""
+    homes = min(5, servers)
+    whole = tokens(servers)
+    floor, lends = split(whole, servers, [f"h{i}" for i in range(homes)], FLOOR)
+    play = Play(seed, homes, servers - homes, min(lends.values()), floor, loss)
+    processes = list(play.processes.values())
+    buckets = {process.key: Bucket() for process in processes}
+    for process in processes:
+        process.quota = Quota(process.part, quota, whole)
+    counts, over = [0, 0], 0.0
+    begin = 15 * SECOND
+
+    def ask(process: Process, until: int) -> None:
+        if play.now >= until:
+            return
+        rate = process.quota.lent(process.now()) if lent else quota / servers
+        counts[0] += 1
+        counts[1] += buckets[process.key].within(play.now, rate)
+        play.after(int(play.chance.expovariate(load * quota / hit) * SECOND) + 1, lambda: ask(process, until))
+
+    def look() -> None:
+        nonlocal over
+        parts = sum(p.quota.part(p.now()) for p in processes)
+        over = max(over, parts / quota - 1)
+        play.after(SECOND // 20, look)
+
+    chosen = play.chance.sample(processes, hit * (1 + moves))
+    half = begin + span // 2
+    for process in chosen[:hit]:
+        play.after(begin, lambda process=process: ask(process, half if moves else begin + span))
+    for process in chosen[hit:]:
+        play.after(half, lambda process=process: ask(process, begin + span))
+    play.after(begin, look)
+    play.run(begin + span)
+    return Counted(counts[1] / max(1, counts[0]), over, counts[1] * SECOND / span / quota)
--- a/gullyoke/emulator/shares.py
+++ b/gullyoke/emulator/shares.py
@@ -8,7 +8,7 @@
 import random
 
 from gullyoke.together.sharing import ASKER, LENDER, VOTER, Letter, Sharing
-from gullyoke.together.slots import Own
+from gullyoke.together.slots import Own, Part
 from gullyoke.together.spans import RATE
 
 SECOND = 1_000_000
@@ -30,6 +30,7 @@
         self.borrower = self.part.borrower
         self.own = Own(self.part, LINGER)
         self.calls = 0                                # how many it would make at once
+        self.quota: Part | None = None                # what stands on the part instead, if not calls
         self.out: set[Call] = set()
 
     @property
@@ -46,7 +47,7 @@
     def turn(self) -> None:
         if self.calls:
             self.call()
-        for letter in (self.own if self.calls else self.part).turn(self.now()):
+        for letter in (self.quota or (self.own if self.calls else self.part)).turn(self.now()):
             self.post(letter, "")
 
     def call(self) -> None:
@@ -66,7 +67,7 @@
                 self.play.after(int(most / self.rate), call.given_up)
 
     def hear(self, from_: str, message) -> None:
-        letter = (self.own if self.calls else self.part).hear(self.now(), message)
+        letter = (self.quota or (self.own if self.calls else self.part)).hear(self.now(), message)
         if letter is not None:
             self.post(letter, from_)
 
--- a/gullyoke/features/shares.py
+++ b/gullyoke/features/shares.py
@@ -1,4 +1,5 @@
-"""This server's part in the slots that all servers share below, on the members' datagrams."""
+"""This server's part in what all servers share, on the members' datagrams: the slots below, and customers'
+quotas."""
 from __future__ import annotations
 
 from gullyoke.core import clock
@@ -7,7 +8,8 @@
 from gullyoke.features.part import Part
 from gullyoke.operator.wanted import Slotted
 from gullyoke.options import Misstated
-from gullyoke.peers.sharing import TOPIC, SharedSlots, stated
+from gullyoke.peers.sharing import QUOTAS, TOPIC, Quotas, SharedQuota, SharedSlots, stated
+from gullyoke.together import quotas
 from gullyoke.together.fair import split
 from gullyoke.together.sharing import Sharing
 from gullyoke.together.slots import UNIT, Mean, Own
@@ -18,6 +20,7 @@
 
     def __init__(self, wanted: Slotted) -> None:
         self.wanted, self.shared, self.in_force = wanted, None, -1
+        self.quotas: dict[str, SharedQuota] = {}
 
     def unit(self) -> int:
         """Tokens of a slot: a limit on the mean is lent in parts of a call."""
@@ -25,7 +28,12 @@
 
     def join(self, fleet: Fleet) -> None:
         """Raises `Misstated` where there is nothing below that could be shared."""
-        below = fleet.house.told.facts.below
+        below, customers = fleet.house.told.facts.below, fleet.house.told.facts.customers
+        if self.wanted.quotas and not customers:
+            raise Misstated(f"{fleet.path}: fleet.shares.quotas: the settings name no customers (Orgs); "
+                            "right would be none")
+        if not self.wanted.slots:
+            return
         if not below.exists:
             raise Misstated(f"{fleet.path}: fleet.shares: no calls go below from here; right would be none")
         if self.wanted.mean and not below.span:
@@ -33,29 +41,61 @@
                             "right would be slots at every moment")
 
     def begin(self, fleet: Fleet) -> None:
-        wanted, told, member = self.wanted, fleet.house.told, fleet.member
-        below = told.facts.below
-        unit, after = self.unit(), below.span if wanted.mean else 0
-        floor, tokens = split(wanted.slots * unit, wanted.largest, wanted.homes, wanted.floor_share)
-        home = told.name if told.name in wanted.homes else None
+        if self.wanted.slots:
+            self.begin_slots(fleet)
+        if self.wanted.quotas:
+            self.begin_quotas(fleet)
+
+    def sharing(self, fleet: Fleet, limit: int, linger: int, after: int) -> tuple[Sharing, int]:
+        """This process's part in a limit of so many tokens, and the floor."""
+        wanted, name = self.wanted, fleet.house.told.name
+        floor, tokens = split(limit, wanted.largest, wanted.homes, wanted.floor_share)
+        home = name if name in wanted.homes else None
         votes = home is not None and wanted.homes[home] == fleet.wanted.advertise
-        sharing = Sharing(clock.now(), member.row.life, wanted.homes, tokens.get(home, 0), floor, home,
-                          votes, below.linger, after)
-        sharing.borrower.weight = wanted.weight
+        made = Sharing(clock.now(), fleet.member.row.life, wanted.homes, tokens.get(home, 0), floor, home,
+                       votes, linger, after)
+        made.borrower.weight = wanted.weight
+        log.info("shares", extra=pairs(tokens=limit, floor=floor, homes=len(wanted.homes),
+                                       lends=tokens.get(home, 0), home=home or "-", votes=votes))
+        return made, floor
+
+    def begin_quotas(self, fleet: Fleet) -> None:
+        """The quotas of those who have most; the others' go by the size agreed on."""
+        whole = quotas.tokens(self.wanted.largest)
+        customers = sorted(fleet.house.told.facts.customers, key=lambda c: (-c.quota, c.name))[:quotas.MOST]
+        for customer in customers:
+            made, floor = self.sharing(fleet, whole, 0, quotas.SAVED)
+            digest = stated(self.wanted.homes, whole, floor, customer.name, f"{customer.quota:g}")
+            limit = SharedQuota(quotas.Quota(made, customer.quota, whole), self.wanted.homes, digest,
+                                fleet.taken)
+            self.quotas[customer.name] = limit
+            customer.lent = limit.lent
+        fleet.link.topics[QUOTAS] = Quotas(self.quotas.values())
+        fleet.link.told["quotas"] = lambda now: {
+            name: limit.told(now) | {"reqs_a_second": round(limit.own.part(now), 2)}
+            for name, limit in self.quotas.items()}
+
+    def begin_slots(self, fleet: Fleet) -> None:
+        wanted, below = self.wanted, fleet.house.told.facts.below
+        unit, after = self.unit(), below.span if wanted.mean else 0
+        sharing, floor = self.sharing(fleet, wanted.slots * unit, below.linger, after)
         own = Mean(sharing, below.linger, below.span) if wanted.mean else Own(sharing, below.linger)
         self.shared = SharedSlots(own, wanted.homes, stated(wanted.homes, wanted.slots * unit, floor),
                                   fleet.taken)
         below.slots = self.shared
         fleet.link.topics[TOPIC] = self.shared
         fleet.link.told["shares"] = self.shared.told
-        log.info("shares", extra=pairs(slots=wanted.slots, floor=floor, homes=len(wanted.homes),
-                                       lends=tokens.get(home, 0), home=home or "-", votes=votes))
 
     def look(self, now: int) -> None:
+        if self.shared is None:
+            return
         told = self.shared.told(now)
         if told["in_force"] != self.in_force:
             self.in_force = told["in_force"]
             log.debug("slots", extra=pairs(**told))
 
     def print(self) -> None:
-        log.info("slots", extra=pairs(**self.shared.told(clock.now())))
+        if self.shared is not None:
+            log.info("slots", extra=pairs(**self.shared.told(clock.now())))
+        for name, limit in self.quotas.items():
+            log.info("quota", extra=pairs(customer=name, **limit.told(clock.now())))
--- a/gullyoke/operator/read.py
+++ b/gullyoke/operator/read.py
@@ -65,6 +65,8 @@
         if home.name in names:
             yield f"fleet.shares.home[{i}].name", f"{home.name!r} stands twice; right would be once"
         names.add(home.name)
+    if homes and not found.fleet.shares.slots and not found.fleet.shares.quotas:
+        yield "fleet.shares", "neither slots nor quotas are shared; right would be slots or quotas"
     if homes and len(homes) % 2 == 0:
         yield "fleet.shares.home", f"{len(homes)} of them; right would be an odd number"
     if found.HasField("duties"):
@@ -86,8 +88,8 @@
         if voter.name in names:
             yield f"duties.voter[{i}].name", f"{voter.name!r} stands twice; right would be once"
         names.add(voter.name)
-    if duties.book and not found.fleet.HasField("shares"):
-        yield "duties.book", "there are no shares; right would be fleet.shares { ... } as well"
+    if duties.book and not found.fleet.shares.slots:
+        yield "duties.book", "no slots are shared; right would be fleet.shares { slots: ... } as well"
     if duties.record and not duties.folder:
         yield "duties.record", "it needs a folder; right would be duties.folder as well"
     taken = {"ask", "book", "roll", "record"}
@@ -167,4 +169,4 @@
 def shared(found: schema.Shares) -> Slotted:
     return Slotted({home.name: home.address for home in found.home}, found.slots, found.largest,
                   found.floor_share if found.HasField("floor_share") else 0.25,
-                  found.weight if found.HasField("weight") else 1.0, found.mean)
+                  found.weight if found.HasField("weight") else 1.0, found.mean, found.quotas)
--- a/gullyoke/operator/wanted.py
+++ b/gullyoke/operator/wanted.py
@@ -80,6 +80,7 @@
     floor_share: float
     weight: float
     mean: bool = False
+    quotas: bool = False
 
 
 class Together(NamedTuple):
--- a/gullyoke/peers/sharing.py
+++ b/gullyoke/peers/sharing.py
@@ -19,15 +19,16 @@
 from gullyoke.together.sharing import ASKER, LENDER, Letter, Message
 from gullyoke.together.slots import Part
 
-TOPIC = 1
+TOPIC, QUOTAS = 1, 3
 KINDS = (Claim, Promise, Want, Grant, Return)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(tuple[int, int, list]).decode
 
 
-def stated(homes: Mapping[str, str], slots: int, floor: int) -> int:
-    """The digest of what has to be stated alike."""
-    return whole(" ".join([*(f"{name}@{at}" for name, at in sorted(homes.items())), str(slots), str(floor)]))
+def stated(homes: Mapping[str, str], limit: int, floor: int, *more: str) -> int:
+    """The digest of what has to be stated alike: `limit` in tokens; of a quota whose it is and its rate."""
+    return whole(" ".join([*(f"{name}@{at}" for name, at in sorted(homes.items())), str(limit), str(floor),
+                           *more]))
 
 
 def pack(digest: int, message: Message) -> bytes:
@@ -51,10 +52,9 @@
     return message
 
 
-class SharedSlots:
-    """`homes`: stated addresses by name. `taken` gives the address of whom the view takes for a name. It is
-    a `Slots` for the decisions, under the desk's lock, and a `Topic` for the link; `lock` is held for
-    moments."""
+class Shared:
+    """One shared limit. `homes`: stated addresses by name. `taken` gives the address of whom the view takes
+    for a name. A `Topic` for the link; `lock` is held for moments."""
 
     def __init__(self, own: Part, homes: Mapping[str, str], digest: int,
                  taken: Callable[[str], str | None]) -> None:
@@ -63,34 +63,6 @@
         self.others = 0                               # letters of a fleet stated otherwise
         self.stands_in: tuple[dict[str, str], int] = {}, 0    # who lends for homes that ended, and until when
 
-    # For the decisions.
-
-    def share(self, now: int, told: float | None, spent: float) -> float | None:
-        with self.lock:
-            return self.own.share(now, told, spent)
-
-    def free(self, now: int, waiting: int) -> bool:
-        with self.lock:
-            return self.own.free(now, waiting)
-
-    def until(self, now: int) -> float:
-        with self.lock:
-            return self.own.until(now)
-
-    def pace(self, now: int) -> float:
-        with self.lock:
-            return self.own.pace(now)
-
-    def began(self) -> None:
-        with self.lock:
-            self.own.began()
-
-    def ended(self, now: int, lost: bool, well: bool) -> None:
-        with self.lock:
-            self.own.ended(now, lost, well)
-
-    # For the link.
-
     def turn(self, now: int) -> list[Post]:
         with self.lock:
             letters = self.own.turn(now)
@@ -126,3 +98,60 @@
                     "need": part.need, "refused": own.refused, "home": part.home or "-",
                     "lends": bool(part.lender and part.holding.lends(now)), "lent": lent,
                     "others": self.others}
+
+class SharedSlots(Shared):
+    """It is a `Slots` for the decisions, under the desk's lock."""
+
+    def share(self, now: int, told: float | None, spent: float) -> float | None:
+        with self.lock:
+            return self.own.share(now, told, spent)
+
+    def free(self, now: int, waiting: int) -> bool:
+        with self.lock:
+            return self.own.free(now, waiting)
+
+    def until(self, now: int) -> float:
+        with self.lock:
+            return self.own.until(now)
+
+    def pace(self, now: int) -> float:
+        with self.lock:
+            return self.own.pace(now)
+
+    def began(self) -> None:
+        with self.lock:
+            self.own.began()
+
+    def ended(self, now: int, lost: bool, well: bool) -> None:
+        with self.lock:
+            self.own.ended(now, lost, well)
+
+
+class SharedQuota(Shared):
+    """`lent` is a customer's for the decisions, under the desk's lock."""
+
+    def lent(self, now: int) -> float:
+        with self.lock:
+            return self.own.lent(now)
+
+
+class Quotas:
+    """A `Topic` for all customers' quotas. Table: `limits`, by the digest of what is stated, one a customer
+    whose quota is lent."""
+
+    def __init__(self, limits: Iterable[SharedQuota]) -> None:
+        self.limits = {limit.digest: limit for limit in limits}
+        self.others = 0
+
+    def turn(self, now: int) -> list[Post]:
+        return [post for limit in self.limits.values() for post in limit.turn(now)]
+
+    def hear(self, now: int, sender: Row, body: bytes) -> Iterable[Post]:
+        try:
+            limit = self.limits.get(decode(body)[0])
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+            raise Malformed(str(fault)) from None
+        if limit is None:
+            self.others += 1
+            return ()
+        return limit.hear(now, sender, body)
--- a/gullyoke/port/facts.py
+++ b/gullyoke/port/facts.py
@@ -1,7 +1,7 @@
 """What a server is told: stated facts in small records by subject, and reqs. Times are whole microseconds."""
 from __future__ import annotations
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -41,9 +41,12 @@
 
 @dataclass(slots=True, eq=False)
 class Customer:
-    """One of those who share the servers; `quota` reqs a second over all servers are within its share."""
+    """One of those who share the servers; `quota` reqs a second over all servers are within its share. `lent`
+    is told of each of its reqs, with the time, and says what part of that is this server's now; None where
+    that is not known."""
     name: str
     quota: float
+    lent: Callable[[int], float | None] = lambda now: None
 
 
 @dataclass(slots=True)
