Voters of duties change one by one under a running fleet

The rule was in the model and walked; a running server took no other set over, so the way was a restart by turns.

Change: SIGHUP takes over the next set, one voter more or fewer under the next number, and nothing else (another address under an old name, two changes, a voter without a folder are said to be ignored); a process that comes to vote begins as a fresh voter does. A feature's parts may take over what the file says now.

--- a/gullyoke/duty/voter.py
+++ b/gullyoke/duty/voter.py
@@ -66,6 +66,13 @@
         self.tried = now                              # when a disk that failed was last tried
         self.refused = 0                              # how often the disk failed a promise
 
+    def set_others(self, others: Iterable[str], voters: int) -> None:
+        """Another set of voters, one more or fewer. What it has promised stays; one that is still learning
+        asks the new others."""
+        self.others, self.voters = frozenset(others), voters
+        self.heard.clear()
+        self.new.clear()
+
     # Who may speak.
 
     def speaks(self, now: int) -> bool:
--- a/gullyoke/emulator/duty.py
+++ b/gullyoke/emulator/duty.py
@@ -92,8 +92,7 @@
             self.disks[name] = None
             self.vote(name, one.life, self.time(name))
         elif name in self.voters and name in self.set:
-            voter = self.voters[name]
-            voter.voters, voter.others = self.number, frozenset(n for n in self.set if n != name)
+            self.voters[name].set_others((n for n in self.set if n != name), self.number)
         else:
             self.voters.pop(name, None)
 
--- a/gullyoke/features/duties.py
+++ b/gullyoke/features/duties.py
@@ -21,7 +21,7 @@
 from gullyoke.members import Row, Status
 from gullyoke.members.entry import Stage
 from gullyoke.members.row import TURNS
-from gullyoke.operator.wanted import Dutied
+from gullyoke.operator.wanted import Dutied, Wanted
 from gullyoke.options import Misstated
 from gullyoke.peers.duties import TOPIC, Duties, rows_in
 
@@ -62,7 +62,7 @@
     def begin(self, fleet: Fleet) -> None:
         wanted, told = self.wanted, fleet.house.told
         self.fleet, row = fleet, fleet.member.row
-        spans = Spans(wanted.lease, wanted.drift, min(200_000, wanted.lease // 10))
+        self.spans = spans = Spans(wanted.lease, wanted.drift, min(200_000, wanted.lease // 10))
         voter, shelf = None, Shelf()
         if wanted.folder:
             self.room = fleet.disks.at(wanted.folder, QUOTA, fleet.house.book)
@@ -127,6 +127,49 @@
     def disk(self, key: str, data: bytes, told) -> bool:
         return self.committer is not None and self.committer.put(key, data, told)
 
+    # Another set of voters, while the server runs.
+
+    def take(self, new: Wanted) -> dict[str, object]:
+        """One voter more or fewer, under the next number: what was granted under the old set runs to its end.
+        A process that comes to vote begins as a fresh voter does, unless its folder has its own promises of
+        the set before."""
+        if new.duties is None or not self.fits(new.duties):
+            return {}
+        wanted, name = new.duties, self.fleet.house.told.name
+        self.wanted = self.wanted._replace(voters=wanted.voters, set=wanted.set)
+        votes, duties, now = wanted.voters.get(name) == self.fleet.wanted.advertise, self.duties, clock.now()
+        if votes and duties.voter is None:
+            voter, shelf = self.voter(name, self.fleet.member.row, self.spans)
+        with duties.lock:
+            duties.voters = dict(wanted.voters)
+            if votes and duties.voter is None:
+                duties.voter, duties.shelf = voter, shelf
+            elif votes:
+                duties.voter.set_others(wanted.voters.keys() - {name}, wanted.set)
+                self.disk(OURS, f"{name} {wanted.set}".encode(), lambda durable: None)
+            else:
+                duties.voter = None
+            for one in duties.candidates.values():
+                one.set_voters(now, wanted.voters, wanted.set)
+        log.warning("voters", extra=pairs(set=wanted.set, voters=",".join(sorted(wanted.voters)),
+                                          votes=votes))
+        return {"set": wanted.set}
+
+    def fits(self, new: Dutied) -> bool:
+        """Whether it is the next set: one voter more or fewer, the rest as they were. Guards against two sets
+        whose majorities need not meet."""
+        old = self.wanted
+        moved = set(old.voters.items()) ^ set(new.voters.items())
+        folder = new.voters.get(self.fleet.house.told.name) is None or bool(old.folder)
+        return new.set == old.set + 1 and len({name for name, _ in moved}) <= 1 and len(moved) <= 1 and folder
+
+    def ignored(self, new: Wanted) -> list[str]:
+        if new.duties is None:
+            return ["duties"]
+        return [f"duties.{name}" for name in Dutied._fields
+                if getattr(self.wanted, name) != getattr(new.duties, name)
+                and not (name in ("voters", "set") and self.fits(new.duties))]
+
     # Who tries.
 
     def look(self, now: int) -> None:
--- a/gullyoke/features/fleet.py
+++ b/gullyoke/features/fleet.py
@@ -156,13 +156,17 @@
         with self.link.lock:
             self.member.entry.seeds = new.fleet.seeds
         self.wanted = self.wanted._replace(seeds=new.fleet.seeds, key_file=new.fleet.key_file)
-        return {"seeds": len(new.fleet.seeds), "keys": len(self.link.seal.keys)}
+        taken: dict[str, object] = {"seeds": len(new.fleet.seeds), "keys": len(self.link.seal.keys)}
+        for part in self.parts:
+            taken |= part.take(new)
+        return taken
 
     def ignored(self, new: Wanted) -> list[str]:
         if new.fleet is None:
             return [self.name]
         return [f"fleet.{name}" for name in Together._fields if name not in ("seeds", "key_file")
-                and getattr(self.wanted, name) != getattr(new.fleet, name)]
+                and getattr(self.wanted, name) != getattr(new.fleet, name)] \
+            + [name for part in self.parts for name in part.ignored(new)]
 
 
 def made(wanted: Together, pool: Pooled | None, duties: Dutied | None) -> list[Part]:
--- a/gullyoke/features/keys.py
+++ b/gullyoke/features/keys.py
@@ -27,7 +27,7 @@
 from gullyoke.features.promised import NOTE, Promised, digest, encode, packed, unpacked
 from gullyoke.features.unit import Plain
 from gullyoke.members.row import TURNS
-from gullyoke.operator.wanted import Kept
+from gullyoke.operator.wanted import Kept, Wanted
 from gullyoke.port import PAST, Kind
 from gullyoke.store import Committer, Newer, Store
 from gullyoke.work import Work
@@ -232,6 +232,9 @@
         self.house.book.add("keys.begun_anew")
         self.open()
 
+    def ignored(self, new: Wanted) -> list[str]:
+        return []                                     # what the file says of it is the memory's part too
+
     def print(self) -> None:
         with self.promised.pen:
             one, waits, committer = self.ledger, self.ledger.waits, self.committer
--- a/gullyoke/features/part.py
+++ b/gullyoke/features/part.py
@@ -3,6 +3,8 @@
 
 from typing import TYPE_CHECKING
 
+from gullyoke.operator.wanted import Wanted
+
 if TYPE_CHECKING:
     from gullyoke.features.fleet import Fleet
 
@@ -23,3 +25,13 @@
     def leave(self) -> None: ...
 
     def end(self) -> None: ...
+
+    # The file was read again.
+
+    def take(self, new: Wanted) -> dict[str, object]:
+        """Take over what may change while the server runs: what that came to, for the log."""
+        return {}
+
+    def ignored(self, new: Wanted) -> list[str]:
+        """The names of what differs and needs a restart."""
+        return []
--- a/gullyoke/rig/play.py
+++ b/gullyoke/rig/play.py
@@ -186,6 +186,8 @@
             self.processes[self.holder()].asked(" ".join(("hand-over", DUTY, *step.words)))
         elif step.what == "roll":
             self.ask_roll(step.words)
+        elif step.what == "voters":                   # the first so many, one more or fewer than before
+            self.set_voters(self.script.names()[:int(step.words[0])])
         elif step.what == "dead":
             self.shared.below.dead = step.words[0] == "yes"
         elif step.what in ("lame", "well"):
@@ -243,6 +245,14 @@
 
     # Duties.
 
+    def set_voters(self, names: list[str]) -> None:
+        """Written into all files under the next number, and read again by those who are up."""
+        voters = {n: text(self.relay.advertised[n]) for n in names}
+        for process in self.processes.values():
+            process.voters, process.set = voters, process.set + 1
+            process.operator()
+            process.signal(signal.SIGHUP)
+
     def named(self, word: str) -> list[str]:
         return [self.holder()] if word == "holder" else self.script.chosen((word,))
 
--- a/gullyoke/rig/processes.py
+++ b/gullyoke/rig/processes.py
@@ -56,6 +56,7 @@
         self.name, self.script, self.day, self.folder = name, script, day, folder
         self.shared, self.homes = shared, {}          # addresses of those who lend, by name
         self.voters: dict[str, str] = {}
+        self.set = 1                                  # the number of that set of voters
         self.listen, self.status, self.members = free(), free(), free()
         self.faults = folder / f"{name}-faults"       # what its disks do (gullyoke/rig/faulty.py)
         self.advertised = self.members
@@ -100,7 +101,8 @@
         folder.mkdir(exist_ok=True)
         more = "  book: true\n  ask: true\n" if self.script.slots else ""
         own = f'name: "{DUTY}" address: "{self.shared.resource.address}" every_ms: 100'
-        return (f'duties {{\n{voters}  lease_ms: {self.script.lease_ms:g}\n  folder: "{folder}"\n'
+        return (f'duties {{\n{voters}  set: {self.set}\n'
+                f'  lease_ms: {self.script.lease_ms:g}\n  folder: "{folder}"\n'
                 f'  roll: true\n  record: true\n{more}  duty {{ {own} }}\n}}\n')
 
     def pool(self) -> str:
--- a/gullyoke/rig/script.py
+++ b/gullyoke/rig/script.py
@@ -22,7 +22,7 @@
           "heal": (0, 0), "loss": (1, 1), "delay": (2, 2), "double": (1, 1), "reorder": (1, 1),
           "rate": (2, 2), "calls": (1, 1), "lame": (1, 99), "well": (1, 99),
           "late": (2, 2), "disk": (2, 3), "holder": (1, 2), "hand-over": (0, 1), "roll": (1, 3),
-          "dead": (1, 1)}
+          "dead": (1, 1), "voters": (1, 1)}
 CHECKS = {"gone": (1, 99), "equal": (0, 0), "stage": (2, 2), "sees": (3, 3), "size": (2, 2),
           "lent": (1, 1), "even": (1, 1), "calm": (1, 1), "held": (0, 1), "moved": (0, 0), "nobody": (0, 0),
           "rolled": (0, 1), "news": (1, 1),
--- a/tests/duty/test_duty.py
+++ b/tests/duty/test_duty.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections import Counter
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -16,6 +17,8 @@
 from gullyoke.duty.spans import Spans
 from gullyoke.duty.voter import Voter
 from gullyoke.emulator.duty import SECOND, Play
+from gullyoke.features.duties import Duty
+from gullyoke.operator.wanted import Dutied
 from gullyoke.rig import history
 from gullyoke.rig.standins import Act
 
@@ -121,6 +124,23 @@
         self.assertEqual((said.voters, one.hear(0, said), one.yes), (2, [], set()))
 
 
+    def test_next_set(self):
+        """A running server takes over the next set of voters, one more or fewer, and nothing else."""
+        three = {"a": "1:1", "b": "1:2", "c": "1:3"}
+        part = Duty(Dutied(three, 4, 10**6, 1000, "/f", False, False, False, False, ()))
+        part.fleet = mock.Mock()
+        part.fleet.house.told.name = "b"
+        for voters, number, fits in ((three | {"d": "1:4"}, 5, True), ({"a": "1:1", "b": "1:2"}, 5, True),
+                                     (three | {"d": "1:4"}, 6, False), (three, 4, False), (three, 3, False),
+                                     (three | {"d": "1:4", "e": "1:5"}, 5, False),
+                                     ({"a": "1:1", "b": "1:2", "d": "1:4"}, 5, False),
+                                     (three | {"c": "1:9"}, 5, False), (three, 5, True)):
+            with self.subTest(voters=voters, number=number):
+                self.assertEqual(part.fits(part.wanted._replace(voters=voters, set=number)), fits)
+        part.wanted = part.wanted._replace(folder="")
+        self.assertFalse(part.fits(part.wanted._replace(voters=three | {"d": "1:4"}, set=5)))
+
+
 class Placing(unittest.TestCase):
     @settings(max_examples=100, deadline=None, derandomize=True, database=None)
     @given(st.lists(st.builds(Placed, st.sampled_from([f"m{i}" for i in range(9)]), st.booleans(),
