--- a/gullyoke/cli/fleet.py
+++ b/gullyoke/cli/fleet.py
@@ -70,6 +70,10 @@
                      f"round trip {trip} ms"
                      + ("" if row.get("room") is None else f" room {row['room']:.2f} sheds {row['shed']:.2f} "
                                                            f"pace {row['pace']:.1f}"))
+    lines += [f"the disk of {folder} is {state}" for folder, state in sorted(found.get("disks", {}).items())
+              if state != "well"]
+    lines += [f"quota of {name}: {one['reqs_a_second']:g} reqs a second here, "
+              f"{one['refused']} times short" for name, one in sorted(found.get("quotas", {}).items())]
     return "\n".join(lines)
 
 
