--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -223,7 +223,8 @@
                                ('shares { slots: 5 largest: 2 }', "shares.home: missing"),
                                ('shares { home { name: "a" address: "h:1" } home { name: "b" '
                                 'address: "h:2" } slots: 5 largest: 2 }', "home: 2 of them; .*odd"),
-                               ('shares { home { name: "a" address: "h:1" } slots: 5 }', "largest: 0 can't be"),
+                               ('shares { home { name: "a" address: "h:1" } slots: 5 }',
+                                "largest: 0 can't be"),
                                ('shares { home { name: "a" address: "h:1" } largest: 2 }',
                                 "neither slots nor quotas")):
                 path.write_text((FILE % key).replace("key_file", f"{more} key_file"))
