Two walks from all their starts are one loop in the explorer

Cause: reading the change again: the worlds of shares and of duties each had the loop over their starts, line for line.

Change: from_all in gullyoke/walk/explore.py, called by both; behaviour as before.

--- a/gullyoke/walk/duty.py
+++ b/gullyoke/walk/duty.py
@@ -19,7 +19,7 @@
 from gullyoke.duty.spans import Spans
 from gullyoke.duty.voter import Row, Voter, Write
 from gullyoke.duty.words import Ask, Done, Said
-from gullyoke.walk.explore import Move, walked
+from gullyoke.walk.explore import Move, from_all
 
 DUTY, NET = "d", 2
 NAMES = ("v0", "v1", "v2")
@@ -331,11 +331,5 @@
 
 def found(mutant: str | None, depth: int, most: int = 10**6) -> tuple[int, str | None]:
     """States walked from all starts, with one guard taken out or none, and what was found with its way."""
-    states = 0
     with whole_ticks(), MUTANTS[mutant]() if mutant else contextlib.nullcontext():
-        for name in STARTS:
-            walk = walked(begun(name), depth, most)
-            states += walk.states
-            if walk.found:
-                return states, f"{name}: {walk.found}\n{walk.script()}"
-    return states, None
+        return from_all(STARTS, begun, depth, most)
--- a/gullyoke/walk/explore.py
+++ b/gullyoke/walk/explore.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import pickle
-from collections.abc import Callable, Hashable, Sequence
+from collections.abc import Callable, Hashable, Iterable, Sequence
 from hashlib import blake2b
 from typing import NamedTuple, Protocol
 
@@ -73,6 +73,18 @@
     return Walked(len(seen), depth, True, None, ())
 
 
+def from_all(names: Iterable[str], begun: Callable[[str], World], depth: int,
+             most: int) -> tuple[int, str | None]:
+    """States walked from each start by its name, and the first wrong thing with its start and way."""
+    states = 0
+    for name in names:
+        walk = walked(begun(name), depth, most)
+        states += walk.states
+        if walk.found:
+            return states, f"{name}: {walk.found}\n{walk.script()}"
+    return states, None
+
+
 def digest(key: Hashable) -> bytes:
     return blake2b(repr(key).encode(), digest_size=12).digest()
 
--- a/gullyoke/walk/shares.py
+++ b/gullyoke/walk/shares.py
@@ -13,7 +13,7 @@
 
 from gullyoke.together import shares
 from gullyoke.together.shares import Borrower, Claim, Grant, Holding, Home, Promise, Return, Voter, Want
-from gullyoke.walk.explore import Move, walked
+from gullyoke.walk.explore import Move, from_all
 
 TOKENS, NET = 2, 2                     # what the home lends; late messages on their way at once
 FOREVER = 10**6
@@ -287,11 +287,5 @@
 
 def found(mutant: str | None, depth: int, most: int = 10**6) -> tuple[int, str | None]:
     """States walked from all starts, with one guard taken out or none, and what was found with its way."""
-    states = 0
     with ticks(), MUTANTS[mutant]() if mutant else contextlib.nullcontext():
-        for name in STARTS:
-            walk = walked(begun(name), depth, most)
-            states += walk.states
-            if walk.found:
-                return states, f"{name}: {walk.found}\n{walk.script()}"
-    return states, None
+        return from_all(STARTS, begun, depth, most)
