--- a/gullyoke/__main__.py
+++ b/gullyoke/__main__.py
@@ -1,7 +1,10 @@
 """The real server: `python -m gullyoke`. What it must know is in the environment and the file named there."""
 import sys
 
-from gullyoke.daemon.start import serve
+from gullyoke.core import signals
 
 if __name__ == "__main__":
+    signals.hold()
+    from gullyoke.daemon.start import serve
+
     sys.exit(serve())
--- a/gullyoke/below/database.py
+++ b/gullyoke/below/database.py
@@ -35,11 +35,12 @@
 
 
 class Wire:
-    """A connection, the call on it, and the id of the last one before that."""
-    __slots__ = ("address", "asked", "last", "since", "sock")
+    """A connection, the call on it, and the id of the last one before that. Its reading thread closes it."""
+    __slots__ = ("address", "asked", "last", "lock", "open", "since", "sock")
 
     def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
         self.sock, self.address, self.asked, self.last, self.since = sock, address, None, "", clock.now()
+        self.lock, self.open = threading.Lock(), True        # no thread may write on a socket that is closed
 
     def sound(self) -> bool:
         """Whether it stands open with nothing to be read: neither closed by the peer nor out of step."""
@@ -53,11 +54,19 @@
 
     def send(self, asked: Asked) -> None:
         """At most one call is on its way, so it fits what the system buffers, and this does not block."""
-        try:
-            if self.sock.send(asked.data, socket.MSG_DONTWAIT) < len(asked.data):
-                shut(self.sock)
-        except OSError:
-            shut(self.sock)                           # the reading side ends the call
+        with self.lock:
+            if not self.open:
+                return                                # the reading side has ended the call
+            try:
+                if self.sock.send(asked.data, socket.MSG_DONTWAIT) < len(asked.data):
+                    shut(self.sock)
+            except OSError:
+                shut(self.sock)                       # the reading side ends the call
+
+    def close(self) -> None:
+        with self.lock:
+            self.open = False
+            self.sock.close()
 
 
 class Database:
@@ -125,6 +134,18 @@
                 shut(wire.sock)
         return None
 
+    def _take(self, wire: Wire, asked: Asked | None = None) -> Asked | None:
+        """The next call on a connection that is free: `asked`, or one that waits; if there is none, the
+        connection goes to the pool. Guards against one whose call was taken back while it came about."""
+        if asked is None:
+            asked = next((one for one in self.waiting if one.req.tid != wire.last), None)
+            if asked is None:
+                self.idle.append(wire)
+                return None
+            self.waiting.remove(asked)
+        wire.asked, asked.wire = asked, wire
+        return asked
+
     def _queue(self, asked: Asked) -> None:
         if self.count < self.most:
             self.count += 1
@@ -176,15 +197,14 @@
             self.over(None, asked, fault.end, str(fault))
             return
         with self.lock:
-            if not asked.over:
-                wire.asked, asked.wire = asked, wire
-        if wire.asked is not None:
-            wire.send(asked)
+            first = self._take(wire, None if asked.over else asked)
+        if first is not None:
+            wire.send(first)
         end, why = served(lambda: self.replies(wire), lambda: self.book.fault("database"))
         with self.lock:
             asked, wire.asked = wire.asked, None
             self.idle = [x for x in self.idle if x is not wire]
-        wire.sock.close()
+        wire.close()
         self.over(wire, asked, end, why)
 
     def over(self, wire: Wire | None, asked: Asked | None, end: End, why: str) -> None:
@@ -217,11 +237,8 @@
                     return End.DECLARED               # taken back meanwhile
                 asked.over, wire.asked, wire.last, wire.since = True, None, words[0], clock.now()
                 strange |= len(buffer) > 0 or wire.address != self.address
-                if not strange and self.waiting and self.waiting[0].req.tid != wire.last:
-                    more = self.waiting.popleft()
-                    wire.asked, more.wire = more, wire
-                elif not strange:
-                    self.idle.append(wire)
+                if not strange:
+                    more = self._take(wire)
             if more is not None:
                 wire.send(more)
             if self._ended(asked):
--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -554,9 +554,9 @@
             else:
                 word = yield from self.abandon(req, word)
         self.move(req, OVER)
+        if word in (Word.UNRUN, Word.MOOT) and guards.keys.pop(req, None):
+            yield to.FORGET                                  # nothing was begun: a later try may be the one
         if word is Word.UNRUN:                               # nowhere to run it: as if it had not been let in
-            if guards.keys.pop(req, None):
-                yield to.FORGET
             if not req.answered and not req.gone:
                 yield self.advice.shed(False, ahead=self.hold.ahead() / self.machine.cores)
             return
--- a/gullyoke/cli/main.py
+++ b/gullyoke/cli/main.py
@@ -12,6 +12,7 @@
 from gullyoke.cli.lab import lab
 from gullyoke.cli.say import refuse
 from gullyoke.cli.store import store
+from gullyoke.core import signals
 
 FILE = click.Path(exists=True, dir_okay=False, readable=True)
 
@@ -41,6 +42,7 @@
       gullyoke serve --config config.json
       NODE_CONFIG=config.json gullyoke serve --operator deploy/scgi.textproto
     """
+    signals.hold()
     from gullyoke.daemon.start import serve as run
     if config:
         os.environ["NODE_CONFIG"] = config
--- a/gullyoke/core/desk.py
+++ b/gullyoke/core/desk.py
@@ -21,13 +21,15 @@
 
 
 class Taken(Req):
-    """A req with all that the sockets need of it. `gate` is let go when its answer is there."""
-    __slots__ = ("answer", "asked", "asking", "at", "entry", "front", "gate", "key", "message", "need",
-                 "noticed", "outcome", "tid")
+    """A request with all that the sockets need of it. `gate` is let go when its answer is there; `content`
+    is a hash of its body, keyed by this process's own secret."""
+    __slots__ = ("answer", "asked", "asking", "at", "content", "entry", "front", "gate", "key", "message",
+                 "need", "noticed", "outcome", "tid")
 
     def carry(self, tid: str, key: str | None, message: Message, front: str) -> None:
         """`front` and `at`, the back end it was last sent to, are for the log alone."""
         self.tid, self.key, self.message, self.front, self.at = tid, key, message, front, "-"
+        self.content = hash(message.body)
         self.answer = self.outcome = self.entry = self.asked = self.asking = None
         self.need = self.noticed = 0
         self.gate = threading.Lock()
--- a/gullyoke/core/message.py
+++ b/gullyoke/core/message.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
-           411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           411: "Length Required", 413: "Content Too Large", 422: "Unprocessable Content",
+           431: "Request Header Fields Too Large",
            500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway",
            503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
--- a/gullyoke/core/repeats.py
+++ b/gullyoke/core/repeats.py
@@ -8,11 +8,12 @@
 
 
 class Entry:
-    """A kept req. `holder` is the req while it is in hand; `result` is None if it didn't end well."""
-    __slots__ = ("ended", "holder", "result", "until", "waiting")
+    """A kept request. `holder` is the request while it is in hand; `content` tells what it asked for from
+    what others ask for, None where that is not known; `result` is None if it didn't end well."""
+    __slots__ = ("content", "ended", "holder", "result", "until", "waiting")
 
-    def __init__(self, holder, until: int) -> None:
-        self.holder, self.until, self.ended = holder, until, 0
+    def __init__(self, holder, until: int, content: int | None = None) -> None:
+        self.holder, self.until, self.content, self.ended = holder, until, content, 0
         self.result: Answer | None = None
         self.waiting: list = []        # repeats to be answered from it
 
@@ -24,10 +25,25 @@
         self.fresh_for, self.bytes = fresh_for, 0
         self.entries: dict[tuple[Handler, str], Entry] = {}
 
+    def alive(self, req) -> Entry | None:
+        """The entry under its key, if it came within that one's time or while that one is in hand."""
+        entry = self.entries.get((req.handler, req.key)) if req.key else None
+        if entry is None or entry.holder is None and req.arrived > entry.until:
+            return None
+        return entry
+
+    def conflicts(self, req) -> bool:
+        """Whether a keyed request asks for something else than the one that came under its key.
+
+        Guards against an answer that belongs to another, for a client that reuses a key or has seen one."""
+        entry = self.alive(req)
+        known = entry is not None and entry.content is not None and req.handler.kind is Kind.UNIQUED
+        return known and entry.content != req.content
+
     def find(self, req, now: int):
         """The entry it repeats, if it came while that was alive, and what the decisions hear of it."""
-        entry = self.entries.get((req.handler, req.key)) if req.key else None
-        if entry is None or req.arrived > entry.until:
+        entry = self.alive(req)
+        if entry is None:
             return None, None
         if entry.holder is not None:
             return entry, entry.holder
@@ -43,7 +59,7 @@
             old = self.entries.pop((req.handler, req.key), None)
             if old is not None:
                 self._drop(old)
-            req.entry = self.entries[req.handler, req.key] = Entry(req, until)
+            req.entry = self.entries[req.handler, req.key] = Entry(req, until, req.content)
 
     def forget(self, req) -> list:
         """Take its entry out; who waited for it is handed back."""
--- a/gullyoke/core/sockets.py
+++ b/gullyoke/core/sockets.py
@@ -8,9 +8,11 @@
 from gullyoke.core.ends import End, Ended, end_of
 
 
-def connected(address: tuple[str, int] | str, patience: float) -> socket.socket:
+def connected(address: tuple[str, int] | str | None, patience: float) -> socket.socket:
     """A connection opened here, to a host and port or a path. That none came about has two ends, told apart
     by whether the peer said so."""
+    if address is None:
+        raise Ended(End.UNREACHED, "no address is stated")
     try:
         if isinstance(address, str):
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -99,17 +101,24 @@
         pass
 
 
-def finish(sock: socket.socket, patience: float = 0.5, most: int = 2**18) -> None:
-    """Say that no more comes, and take what is still on its way: closing over unread bytes would break off
-    what the peer has yet to read. Bounded in time and bytes, for peers that go on and on."""
-    sock.shutdown(socket.SHUT_WR)
+def half_close(sock: socket.socket) -> None:
+    """Say that no more comes from here."""
+    try:
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:                                   # the peer has gone already
+        pass
+
+
+def drain(sock: socket.socket, patience: float = 0.5, most: int = 2**18) -> None:
+    """Take and drop what the peer still sends, to its end. Bounded in seconds and bytes, for peers that go on
+    and on; one that keeps its side open has had its answer."""
     until = time.monotonic() + patience
-    while most > 0 and (left := until - time.monotonic()) > 0:
-        sock.settimeout(left)
-        try:
+    try:
+        while most > 0 and (left := until - time.monotonic()) > 0:
+            sock.settimeout(left)
             got = len(sock.recv(65536))
-        except TimeoutError:                          # one that keeps its side open has its answer
-            return
-        most -= got
-        if not got:
-            return
+            most -= got
+            if not got:
+                return
+    except OSError:                                   # the time is over, or the peer broke off
+        return
--- a/gullyoke/daemon/house.py
+++ b/gullyoke/daemon/house.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from gullyoke.below.database import Database
-from gullyoke.core import clock
+from gullyoke.core import clock, signals
 from gullyoke.core.book import Book, log, pairs, start_log
 from gullyoke.core.desk import Desk
 from gullyoke.core.standing import Standing
@@ -21,7 +21,7 @@
 from gullyoke.daemon.options import Told, told
 from gullyoke.daemon.relay import Relay
 from gullyoke.daemon.route import Route
-from gullyoke.front.connections import Connections
+from gullyoke.front.connections import ConnectionTable
 from gullyoke.front.http1 import Http1
 from gullyoke.front.intake import Intake
 from gullyoke.front.room import Room
@@ -35,7 +35,6 @@
 CALLS = 6                              # of all descriptors one in so many is for calls
 LAST = 200_000                         # before the stop: no connection is taken any more
 TAKEN = ("engine", "database", "naming", "stop")     # what a new configuration can change in a running server
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
 class Feature(Protocol):
@@ -91,7 +90,7 @@
         self.relay = Relay(self.desk, self.route, self.book)
         self.intake = Intake(self.desk, self.standing, self.book)
         self.room = Room(self.places())
-        self.connections = Connections(self.room, self.desk, self.standing, self.book)
+        self.connections = ConnectionTable(self.room, self.desk, self.standing, self.book)
         self.connections.listen(told.listen, Http1(self.intake))
         self.naming = told.naming and Naming(told.naming, told.name, lambda: self.standing.good,
                                              random.Random(told.seed), self.book)
@@ -103,8 +102,8 @@
         """How many connections all fronts may have: what calls, back ends and the rest leave."""
         return self.told.sockets - SPARE - self.calls - sum(one.held() for one in self.features)
 
-    def run(self) -> int:
-        """Serve until the notice to leave, and to the end of the drain."""
+    def start(self) -> None:
+        """Serve, from now on."""
         self.timer.start()
         threading.Thread(target=self.desk.think, name="think", daemon=True).start()
         for one in self.features:
@@ -116,8 +115,12 @@
         if self.naming:
             self.naming.start()
         log.info("started", extra=pairs(name=self.told.name, listen=":".join(map(str, self.told.listen))))
+
+    def run(self) -> int:
+        """Serve until the notice to leave, and to the end of the drain."""
+        self.start()
         gc.freeze()                                   # what is there now stays; later passes pass it over
-        while self.heed(signal.sigwait(SIGNALS)):
+        while self.heed(signal.sigwait(signals.HANDLED)):
             pass
         return self.leave()
 
@@ -139,7 +142,8 @@
     def reload(self) -> None:
         """Take over what a new configuration may change under reqs: addresses and the stop's time.
 
-        Guards against a file that is missing, torn or impossible: the one in force stays, whole.
+        Guards against a file that is missing, torn, impossible or another server's: the one in force stays,
+        whole. Another server's engine knows none of the requests in hand here.
         """
         self.book.add("reloads")
         try:
@@ -147,6 +151,9 @@
         except Misstated as fault:
             log.error("configuration kept", extra=pairs(why=fault))
             return
+        if (strange := self.told.strange(new)) is not None:
+            log.error("configuration kept", extra=pairs(why=f"'{strange}' is that of another server"))
+            return
         if self.extra and not self.extra.reload():
             return
         self.room.state(self.places())
@@ -167,7 +174,7 @@
             one.leave()
         stop = self.desk.stop_at
         while (left := (stop - LAST - clock.now()) / 1e6) > 0:
-            if (sign := signal.sigtimedwait(SIGNALS, left)) is not None:
+            if (sign := signal.sigtimedwait(signals.HANDLED, left)) is not None:
                 self.heed(sign.si_signo)
         self.connections.leave()
         while self.connections.open and clock.now() < stop - LAST // 10:
--- a/gullyoke/daemon/naming.py
+++ b/gullyoke/daemon/naming.py
@@ -9,10 +9,11 @@
 
 from gullyoke.codec import http
 from gullyoke.codec.buffer import Buffer
+from gullyoke.core import clock
 from gullyoke.core.book import Book, log, pairs
 from gullyoke.core.ends import End, Ended, served
 from gullyoke.core.message import Unfit
-from gullyoke.core.sockets import Receiver, connected
+from gullyoke.core.sockets import Until, connected
 
 EVERY, LIMIT = 0.8, 0.5                # seconds between reports, and for each; an entry lapses after 3
 PAUSES = (0.1, 0.8)                    # before the next try after a failure: the first, and the longest
@@ -23,7 +24,7 @@
                  book: Book) -> None:
         super().__init__(name="naming", daemon=True)
         self.address, self.path, self.good, self.book = address, f"/ns/hosts/{name}", good, book
-        self.chance, self.sock, self.buffer, self.at = chance.uniform, None, None, address
+        self.chance, self.sock, self.at = chance.uniform, None, address
 
     def move(self, address: tuple[str, int]) -> None:
         """Its address is another from the next report on."""
@@ -49,13 +50,14 @@
             self.close()
             self.at = self.address
             self.sock = connected(self.at, LIMIT)
-            self.sock.settimeout(LIMIT)
-            self.buffer = Buffer(Receiver(self.sock), http.BUFFER)
+        # Guards against an answer that comes byte by byte: one that is too late is none.
+        until = Until(self.sock, clock.now() + int(LIMIT * 1e6))
+        buffer = Buffer(until, http.BUFFER)
         body = b'{"serving":"yes"}' if self.good() else b'{"serving":"no"}'
         head = f"PUT {self.path} HTTP/1.1\r\nHost: naming\r\nContent-Length: {len(body)}\r\n\r\n"
-        self.sock.sendall(head.encode("latin-1") + body)
+        until.send(head.encode("latin-1") + body)
         try:
-            said = http.read(self.buffer)
+            said = http.read(buffer)
         except Unfit as fault:
             raise Ended(End.GARBLED, str(fault)) from None
         if said is None:
@@ -63,7 +65,7 @@
         if said.first[1] != "204":
             raise Ended(End.GARBLED, f"answered {said.first[1][:20]}")
         self.book.add("naming.reports")
-        if said.closes():
+        if said.closes() or len(buffer):              # more than one answer: out of step
             self.close()
         return End.DECLARED
 
--- a/gullyoke/daemon/options.py
+++ b/gullyoke/daemon/options.py
@@ -24,6 +24,17 @@
     level: str
     settings: dict[str, str]
 
+    def strange(self, new: Told) -> str | None:
+        """What shows that another configuration is not this server's: its name, or the names of its
+        classes or tenants; None where it may be. Figures may differ: they are those of another start."""
+        if new.name != self.name:
+            return "name"
+        if [h.name for h in new.facts.handlers] != [h.name for h in self.facts.handlers]:
+            return "settings.Profiles"
+        if [c.name for c in new.facts.customers] != [c.name for c in self.facts.customers]:
+            return "settings.Orgs"
+        return None
+
     def changed(self, old: Told) -> list[str]:
         """The names of what differs from another configuration. The seed is new with each file."""
         return [name for name in self._fields
@@ -32,7 +43,8 @@
 
 def told(env: Mapping[str, str], apart: bool = False) -> Told:
     """From the environment and the file that it names. NODE_NAME and NODE_LISTEN stand over the file's. Where
-    the operator's file names the back ends (`apart`), engine, database and name service may be absent."""
+    the operator's file names the back ends (`apart`), engine, database and name service may be absent; the
+    database also where the settings name nothing below."""
     path = env.get("NODE_CONFIG")
     if not path:
         raise Misstated("missing environment variable 'NODE_CONFIG'")
@@ -50,12 +62,14 @@
     if level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         raise Misstated(f"environment variable 'GULLYOKE_LOG' is {level!r}, not a level of logging")
     settings = flat(part(found, "settings"))
-    engine, naming, database = (None if apart and key not in found else address(found, key)
-                                for key in ("engine", "naming", "db"))
+    facts = facts_of(settings)
+    missing = {"engine": apart, "naming": apart, "db": apart or not facts.below.exists}
+    engine, naming, database = (None if may_miss and key not in found else address(found, key)
+                                for key, may_miss in missing.items())
     return Told(
         word(found, "name"), address(found, "listen"), engine, naming, database, seed(found),
         whole(found, "stop_ms", 1) * 1000,
-        whole(limits, "limits.sockets", 20, 1024), facts_of(settings), level, settings)
+        whole(limits, "limits.sockets", 20, 1024), facts, level, settings)
 
 
 def get(found: dict, key: str, default: object = None) -> object:
--- a/gullyoke/front/admit.py
+++ b/gullyoke/front/admit.py
@@ -62,17 +62,27 @@
     return req
 
 
-def admit(desk: Desk, req: Taken) -> bool:
-    """Hand it to the decisions; False if none are there yet, or a req of this id is in hand."""
+def admit(desk: Desk, request: Taken) -> None:
+    """Hand it to the decisions. Raises `Unfit` where it could be taken for another: then nothing runs."""
 
     def read() -> None:
-        nonlocal known
-        known = desk.reqs.get(req.tid) is None
-        if known:
-            desk.reqs[req.tid] = req
-            _, req.prior = desk.repeats.find(req, desk.now)
-            desk.server.read(desk.now, req)
-
-    known = False
-    desk.handle(read, req)
-    return known
+        nonlocal unfit
+        unfit = mistakable(desk, request)
+        if unfit is None:
+            desk.reqs[request.tid] = request
+            _, request.prior = desk.repeats.find(request, desk.now)
+            desk.server.read(desk.now, request)
+
+    unfit: Unfit | None = None
+    desk.handle(read, request)
+    if unfit is not None:
+        raise unfit
+
+
+def mistakable(desk: Desk, request: Taken) -> Unfit | None:
+    """What forbids to take it beside what is in hand or was answered."""
+    if request.tid in desk.reqs:
+        return Unfit(409, "a request of this id is in hand already")
+    if desk.repeats.conflicts(request):
+        return Unfit(422, "another request came under this key")
+    return None
--- a/gullyoke/front/connections.py
+++ b/gullyoke/front/connections.py
@@ -1,11 +1,9 @@
-"""The connections of all fronts: accepted, a thread each, closed when silent or at the drain's end."""
+"""The connections of all listeners: accepted, a thread each, ended when silent, stalled or at the stop."""
 from __future__ import annotations
 
 import errno
-import os
 import select
 import socket
-import stat
 import threading
 import time
 from typing import Protocol
@@ -14,255 +12,256 @@
 from gullyoke.core import clock
 from gullyoke.core.book import Book, log, pairs
 from gullyoke.core.crew import Crew
-from gullyoke.core.desk import Desk, Taken
+from gullyoke.core.desk import Desk
 from gullyoke.core.ends import End, Peer, outcome, served
 from gullyoke.core.message import Answer, Unfit
 from gullyoke.core.sockets import Receiver, shut
 from gullyoke.core.standing import Standing
+from gullyoke.front.connection import Connection, State
+from gullyoke.front.listening import listening
 from gullyoke.front.room import Room
 
-FIRST = 2_500_000                      # microseconds from connecting to a whole first message
-STALL = 5_000_000                      # for a later message to come whole, or an answer to be taken
-GREET, HALF = 50_000, 500_000          # where room is short: for a newcomer's first byte, and for the rest
-BACKLOG = 1024
-HUNG = select.POLLERR | select.POLLHUP
-IDLE, READING, WAITING, WRITING = "idle", "reading", "waiting", "writing"   # what a connection is at
+FIRST_MESSAGE_US = 2_500_000           # from connecting to a whole first message
+STALL_US = 5_000_000                   # for a later message to come whole, or an answer to be taken
+LINGER_US = 300_000                    # for a peer to close its side after our half-close
+GREET_US = 50_000                      # where room is short: for a newcomer's first byte
+HALF_MESSAGE_US = 500_000              # and for the rest of its message
+CLOSING_MOST = 8                       # connections that may hold a descriptor without a place, closing
+ACCEPT_RETRY_S = 0.02                  # after an accept that failed
+HUNG_UP = select.POLLERR | select.POLLHUP
 
 
 class Front(Protocol):
     """A protocol's side of a connection. `name` stands in counters and logs; `buffer` is the most bytes that
     one message may take."""
+
     name: str
     buffer: int
 
-    def exchange(self, conn: Connection, buffer: Buffer) -> End:
+    def exchange(self, connection: Connection, buffer: Buffer) -> End:
         """Messages and their answers, until a side ends it."""
 
 
 class Listener:
-    """Where one front listens. Table: `open`, its connections, each until its end."""
+    """Where one front listens. Its accepting thread owns the socket and closes it. Table: `placed`, its
+    connections that take a place; each leaves when its end is decided."""
 
     def __init__(self, sock: socket.socket, front: Front) -> None:
         self.sock, self.front = sock, front
-        self.open: dict[Connection, None] = {}
-
-
-def listening(address: tuple[str, int] | str) -> socket.socket:
-    """A socket that listens on a host and port, or on a path, where the file of a listener that is no more
-    is taken away. Raises `OSError` where that can't be."""
-    if isinstance(address, tuple):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    else:
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        unused(address)
-    sock.bind(address)
-    sock.listen(BACKLOG)
-    return sock
-
-
-def unused(path: str) -> None:
-    """Guards against a start that fails over what a killed server left; a live one is not touched."""
-    try:
-        if not stat.S_ISSOCK(os.stat(path).st_mode):
-            return
-    except FileNotFoundError:
-        return
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
-        try:
-            probe.connect(path)
-        except ConnectionRefusedError:
-            os.unlink(path)
-
-
-class Connection:
-    """One connection: what it does, since when, and the req on it."""
-
-    def __init__(self, sock: socket.socket, at: Listener, table: Connections) -> None:
-        self.sock, self.at, self.table, self.state, self.opened = sock, at, table, IDLE, clock.now()
-        self.since = self.opened
-        self.req: Taken | None = None
-        self.served = False                           # whether it has had a message
-        self.closing: End | None = None               # why it is being closed here
-
-    def now(self, state: str) -> None:
-        self.state, self.since = state, clock.now()
-
-    # What a front tells of it.
-
-    def rests(self) -> None:
-        """Between two messages."""
-        self.now(IDLE)
-        if self.served:
-            self.table.idle[self] = None
-
-    def begun(self) -> None:
-        """The first byte of a message."""
-        self.table.idle.pop(self, None)
-        self.now(READING)
-
-    def unfit(self, fault: Unfit) -> Answer:
-        """What came is no req: counted, said, and what is answered."""
-        self.table.book.add(f"unfit.{fault.status}")
-        log.warning("message refused", extra=pairs(status=fault.status, why=fault, front=self.at.front.name))
-        return Answer(fault.status)
-
-    def answers(self, data: bytes) -> None:
-        """Write a whole answer."""
-        self.now(WRITING)
-        self.sock.sendall(data)
-        self.req, self.served = None, True
-        self.table.fresh.pop(self, None)
+        self.placed: dict[Connection, None] = {}
 
 
-class Connections:
-    """Tables: `open`, the connections; of these `fresh`, not yet served, in the order they came, and `idle`,
-    served and silent, the longest first. Each leaves at its end."""
+class ConnectionTable:
+    """Tables: `open`, the connections that hold a descriptor; of these `fresh`, not yet served, in the order
+    they came; `idle`, served and silent, the longest first; `closing`, whose end is decided. Each leaves at
+    its end."""
 
     def __init__(self, room: Room, desk: Desk, standing: Standing, book: Book) -> None:
         self.room, self.desk, self.standing, self.book = room, desk, standing, book
         self.open: dict[Connection, None] = {}
         self.fresh: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}
-        self.crew = Crew(self.serve)
+        self.closing: dict[Connection, None] = {}
+        self.workers = Crew(self.serve)
         self.listeners: list[Listener] = []
-        self.door = threading.Lock()                  # one newcomer at a time, whichever way it comes
+        self.admission = threading.Lock()             # one newcomer at a time, whichever listener it comes by
+        self.left = threading.Condition(threading.Lock())    # told when a descriptor has come free
 
     def listen(self, address: tuple[str, int] | str, front: Front) -> None:
         self.listeners.append(Listener(listening(address), front))
 
     def start(self) -> None:
-        for at in self.listeners:
-            threading.Thread(target=self.accept, args=(at,), name="accept", daemon=True).start()
+        for listener in self.listeners:
+            threading.Thread(target=self.accept, args=(listener,), name="accept", daemon=True).start()
 
-    def accept(self, at: Listener) -> None:
-        while True:
+    def accept(self, listener: Listener) -> None:
+        """An accepting thread's life."""
+        while not self.standing.closing:
+            self.wait_for_descriptor()
             try:
-                sock, _ = at.sock.accept()
+                sock, _ = listener.sock.accept()
             except OSError as fault:
                 if self.standing.closing or fault.errno in (errno.EBADF, errno.EINVAL):
-                    return                            # closed at the end of the drain
+                    break                             # shut at the end of the drain
                 # Guards against running out of descriptors or memory: what waits stays in the backlog.
                 self.book.add("accept.failed")
                 log.warning("accept failed", extra=pairs(why=fault))
-                time.sleep(0.02)
+                time.sleep(ACCEPT_RETRY_S)
                 continue
-            self.take(sock, at)
+            self.take(sock, listener)
+        listener.sock.close()
 
-    def take(self, sock: socket.socket, at: Listener) -> None:
-        with self.door:
-            conn = Connection(sock, at, self)
+    def wait_for_descriptor(self) -> None:
+        """Wait while connections that are closing hold more descriptors than are set aside for them.
+
+        Guards against newcomers that come faster than those who made room for them can close: together they
+        would take the descriptors that the engine, the database and the name service need.
+        """
+        with self.left:
+            while len(self.open) >= self.room.most + CLOSING_MOST and not self.standing.closing:
+                self.left.wait(0.1)
+
+    def take(self, sock: socket.socket, listener: Listener) -> None:
+        """Serve a connection that has been accepted."""
+        with self.admission:
+            connection = Connection(sock, listener, self)
             self.book.add("connections.opened")
-            self.open[conn] = self.fresh[conn] = at.open[conn] = None
+            self.open[connection] = self.fresh[connection] = listener.placed[connection] = None
             try:
                 if sock.family != socket.AF_UNIX:
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                if not self.make_room(at):
-                    self.ended(conn, End.CROWDED, "")
+                if not self.make_room(listener):
+                    self.ended(connection, End.CROWDED, "")
                     return
-                if not self.crew.hand(conn):
-                    threading.Thread(target=self.crew.work, args=(conn,), name="gateway", daemon=True).start()
+                if not self.workers.hand(connection):
+                    threading.Thread(target=self.workers.work, args=(connection,), name="gateway",
+                                     daemon=True).start()
                     self.book.add("threads.gateway")
             except (OSError, RuntimeError) as fault:  # no thread to be had, or gone already
                 log.warning("connection not served", extra=pairs(why=fault))
-                self.ended(conn, End.FAULT, str(fault))
+                self.ended(connection, End.FAULT, str(fault))
 
-    def make_room(self, at: Listener) -> bool:
+    def make_room(self, listener: Listener) -> bool:
         """Too many at once: one goes, so that engine and database can still be reached. False if none can.
 
         Guards against clients that fill the table and say nothing, or half of something: they go first, the
         oldest before the rest, then the one longest idle. It might hurt gateways that connect well ahead.
         """
-        if len(self.listeners) < 2 and len(self.open) <= self.room.most:
+        if len(self.listeners) < 2 and len(listener.placed) <= self.room.most:
             return True
-        count = {each: len(each.open) for each in self.listeners}
-        if self.room.fits(at, count):
+        count = {each: len(each.placed) for each in self.listeners}
+        if self.room.fits(listener, count):
             return True
+        return self.end_silent(listener, count) or self.end_idle(listener, count)
+
+    def end_silent(self, listener: Listener, count: dict[Listener, int]) -> bool:
+        """End the oldest that has said nothing yet, or half of something; whether there was one."""
         now = clock.now()
-        for conn in list(self.fresh):
-            spent = now - conn.since
-            if now - conn.opened <= GREET:
+        for connection in list(self.fresh):
+            if now - connection.opened <= GREET_US:
                 break                                 # later ones are younger: a burst costs no look at each
-            mute = conn.state is IDLE and spent > GREET or conn.state is READING and spent > HALF
-            if mute and conn.closing is None and self.room.may_lose(conn.at, at, count):
-                self.close_idle(conn, End.SILENT)
-                return True
-        for conn in list(self.idle):
-            if conn.closing is None and self.room.may_lose(conn.at, at, count):
-                self.close_idle(conn, End.IDLE)
+            since = connection.since
+            states = {State.IDLE} if now - since > GREET_US else set()
+            states |= {State.READING} if now - since > HALF_MESSAGE_US else set()
+            if not self.room.may_lose(connection.listener, listener, count):
+                continue
+            if connection.abort(End.SILENT, states, since):
+                self.decided(connection)
                 return True
         return False
 
-    def serve(self, conn: Connection) -> None:
-        front = conn.at.front
-        end, why = served(lambda: front.exchange(conn, Buffer(Receiver(conn.sock), front.buffer)),
-                          lambda: self.book.fault(front.name))
-        self.ended(conn, conn.closing or end, why)
+    def end_idle(self, listener: Listener, count: dict[Listener, int]) -> bool:
+        """End the one longest idle; whether there was one."""
+        for connection in list(self.idle):
+            if self.room.may_lose(connection.listener, listener, count) and connection.close_idle(End.IDLE):
+                self.decided(connection)
+                self.hurry()
+                return True
+        return False
 
-    def ended(self, conn: Connection, end: End, why: str) -> None:
-        for table in (self.open, self.fresh, self.idle, conn.at.open):
-            table.pop(conn, None)
-        self.book.add(f"ends.{conn.at.front.name}.{end.value}")
+    def hurry(self) -> None:
+        """Too many wait for their peers to close: the one that has waited longest waits no more."""
+        if len(self.closing) > CLOSING_MOST:
+            oldest = next(iter(self.closing))
+            oldest.abort(End.IDLE, {State.CLOSING}, oldest.since)
+
+    def decided(self, connection: Connection) -> None:
+        """Its end is decided: its place is free, its descriptor will be."""
+        connection.listener.placed.pop(connection, None)
+        self.closing[connection] = None
+        if connection not in self.open:               # its thread was quicker
+            self.closing.pop(connection, None)
+
+    def serve(self, connection: Connection) -> None:
+        """A connection's life, on its own thread."""
+        front = connection.listener.front
+        end, why = served(
+            lambda: front.exchange(connection, Buffer(Receiver(connection.sock), front.buffer)),
+            lambda: self.book.fault(front.name))
+        self.ended(connection, connection.end or end, why)
+
+    def ended(self, connection: Connection, end: End, why: str) -> None:
+        """The one place where a client connection ends."""
+        front = connection.listener.front.name
+        self.book.add(f"ends.{front}.{end.value}")
         if end in (End.GARBLED, End.STALLED, End.CUT):
-            log.warning("connection of a gateway ended",
-                        extra=pairs(end=end.value, why=why, front=conn.at.front.name))
+            log.warning("connection of a gateway ended", extra=pairs(end=end.value, why=why, front=front))
         word = outcome(Peer.GATEWAY, end)
-        if conn.req is not None and word is not None:
-            self.desk.tell(conn.req, word)
-        shut(conn.sock)
-        conn.sock.close()
+        if connection.request is not None and word is not None:
+            self.desk.tell(connection.request, word)
+        for table in (self.fresh, self.idle):
+            table.pop(connection, None)
+        connection.close(end)                         # may take a moment: it keeps its place so long
+        for table in (connection.listener.placed, self.open, self.closing):
+            table.pop(connection, None)
+        with self.left:
+            self.left.notify_all()
+
+    def refused(self, connection: Connection, fault: Unfit) -> Answer:
+        """What came is no request: counted, said, and what is answered."""
+        self.book.add(f"unfit.{fault.status}")
+        log.warning("message refused",
+                    extra=pairs(status=fault.status, why=fault, front=connection.listener.front.name))
+        return Answer(fault.status)
 
     # From the timer.
 
     def sweep(self) -> None:
-        """Silent connections are closed; so are those that a peer holds up."""
-        now, span, last = clock.now(), self.standing.idle, self.standing.closing
-        for conn in list(self.open):
-            spent = now - conn.since
-            waits = conn.state in (IDLE, READING) and not conn.served
-            if conn.state in (READING, WRITING) and spent > STALL or waits and now - conn.opened > FIRST:
-                conn.closing = End.SILENT if conn.state is IDLE else End.STALLED
-                shut(conn.sock)
-            elif conn.state is IDLE and conn.closing is None and (last or span and spent > span):
-                self.close_idle(conn, End.LEAVING if last else End.IDLE)
-        self.hear_gone([c for c in list(self.open) if c.state is WAITING])
+        """Silent connections are ended; so are those that a peer holds up."""
+        for connection in list(self.open):
+            if self.overdue(connection, clock.now()):
+                self.decided(connection)
+        self.hear_gone([c for c in list(self.open) if c.state is State.WAITING])
+
+    def overdue(self, connection: Connection, now: int) -> bool:
+        """End a connection whose time is up; whether its end was decided here and now."""
+        since, state = connection.since, connection.state
+        spent = now - since
+        if state is State.CLOSING:
+            if connection in self.closing and spent > LINGER_US:    # its peer keeps its side open
+                connection.abort(End.IDLE, {state}, since)
+            return False
+        if state in (State.READING, State.WRITING) and spent > STALL_US:
+            return connection.abort(End.STALLED, {state}, since)
+        unheard = state in (State.IDLE, State.READING) and not connection.served
+        if unheard and now - connection.opened > FIRST_MESSAGE_US:
+            return connection.abort(End.SILENT if state is State.IDLE else End.STALLED, {state}, since)
+        if self.standing.closing:
+            return connection.close_idle(End.LEAVING)
+        return 0 < self.standing.idle < spent and connection.close_idle(End.IDLE)
 
     def hear_gone(self, waiting: list[Connection]) -> None:
-        """A connection that is broken while its req waits: nobody is there, and nothing could be written.
+        """A connection that is broken while its request waits: nobody is there, and nothing could be written.
 
         A peer that has closed its own direction only may still read, and keeps its answer.
         """
         look, by_number = select.poll(), {}
-        for conn in waiting:
-            number = conn.sock.fileno()
+        for connection in waiting:
+            number = connection.sock.fileno()
             if number >= 0:
                 look.register(number, 0)
-                by_number[number] = conn
+                by_number[number] = connection, connection.request
         for number, seen in look.poll(0):
-            conn = by_number[number]
-            if seen & HUNG and conn.req is not None and not conn.req.gone:
+            connection, request = by_number[number]
+            if not seen & HUNG_UP or connection.sock.fileno() != number:    # its number may be another's now
+                continue
+            if request is not None and not request.gone:
                 self.book.add("reqs.gone")
-                self.desk.tell(conn.req, outcome(Peer.GATEWAY, End.RESET))
-
-    def close_idle(self, conn: Connection, end: End) -> None:
-        """Its thread wakes and finds the end after whatever has come by then, which is read and answered."""
-        conn.closing = end
-        try:
-            conn.sock.shutdown(socket.SHUT_RD)
-        except OSError:
-            pass
+                self.desk.tell(request, outcome(Peer.GATEWAY, End.RESET))
 
     def leave(self) -> None:
-        """The end of the drain: take what waits in the backlogs, then no more."""
+        """The end of the drain: take what waits in the backlogs, then no more; idle connections end."""
         self.standing.closing = True
-        for at in self.listeners:
-            at.sock.setblocking(False)
+        for listener in self.listeners:
+            listener.sock.setblocking(False)
             while True:
                 try:
-                    sock, _ = at.sock.accept()
+                    sock, _ = listener.sock.accept()
                 except OSError:
                     break
                 sock.setblocking(True)
-                self.take(sock, at)
-            shut(at.sock)                             # closing alone would not wake the accepting thread
-            at.sock.close()
+                self.take(sock, listener)
+            shut(listener.sock)                       # wakes its accepting thread, which closes it
+        with self.left:
+            self.left.notify_all()
+        self.sweep()
--- a/gullyoke/front/http1.py
+++ b/gullyoke/front/http1.py
@@ -5,8 +5,7 @@
 from gullyoke.codec.buffer import Buffer
 from gullyoke.core.ends import End
 from gullyoke.core.message import Answer, Message, Unfit
-from gullyoke.core.sockets import finish
-from gullyoke.front.connections import Connection
+from gullyoke.front.connection import Connection
 from gullyoke.front.intake import Intake
 
 HEALTH = "/ping"
@@ -19,22 +18,21 @@
     def __init__(self, intake: Intake, name: str = "gateway") -> None:
         self.intake, self.name = intake, name
 
-    def exchange(self, conn: Connection, buffer: Buffer) -> End:
+    def exchange(self, connection: Connection, buffer: Buffer) -> End:
         while True:
-            conn.rests()
+            connection.rest()
             try:
-                message = http.read(buffer, conn.begun)
+                message = http.read(buffer, connection.begin_message)
                 if message is None:
                     return End.CLOSED
-                answer, close = self.take(message, conn)
+                answer, close = self.take(message, connection)
             except Unfit as fault:
-                answer, close = conn.unfit(fault), True
-            conn.answers(http.answer(answer, close))
+                answer, close = connection.table.refused(connection, fault), True
+            connection.answer(http.answer(answer, close))
             if close:
-                finish(conn.sock)
                 return End.DECLARED
 
-    def take(self, message: Message, conn: Connection) -> tuple[Answer, bool]:
+    def take(self, message: Message, connection: Connection) -> tuple[Answer, bool]:
         """The answer, and whether the connection is closed after it."""
         method, path, version = message.first
         close = message.closes() or version == "HTTP/1.0"
@@ -42,5 +40,5 @@
             if method not in ("GET", "HEAD"):
                 raise Unfit(405, "method")
             return self.intake.health(), close
-        answer = self.intake.req(message, conn)
+        answer = self.intake.request(message, connection)
         return answer, close or self.intake.standing.closing
--- a/gullyoke/front/intake.py
+++ b/gullyoke/front/intake.py
@@ -4,10 +4,10 @@
 from gullyoke.core import clock
 from gullyoke.core.book import Book
 from gullyoke.core.desk import Desk, told_of
-from gullyoke.core.message import Answer, Message, Unfit
+from gullyoke.core.message import Answer, Message
 from gullyoke.core.standing import Standing
 from gullyoke.front import admit
-from gullyoke.front.connections import WAITING, Connection
+from gullyoke.front.connection import Connection
 from gullyoke.port import Shed
 
 
@@ -22,22 +22,21 @@
         good = self.standing.good and self.desk.server is not None
         return Answer(200 if good else 503, fields=self.feedback())
 
-    def req(self, message: Message, conn: Connection) -> Answer:
-        """The one final answer to a req; raises `Unfit` where the message is none."""
-        conn.req = req = admit.made(self.desk, message, conn.at.front.name)
-        conn.now(WAITING)
+    def request(self, message: Message, connection: Connection) -> Answer:
+        """The one final answer to a request; raises `Unfit` where the message is none."""
+        request = admit.made(self.desk, message, connection.listener.front.name)
+        connection.begin_request(request)
         if self.desk.server is None:                  # nothing runs before the engine is up
             self.book.add("answers.early")
             return Answer(503)
-        if not admit.admit(self.desk, req):
-            raise Unfit(409, "this req is in hand already")
+        admit.admit(self.desk, request)
         self.book.add("reqs.read")
-        if not req.gate.acquire(timeout=max(0.0, (req.due - clock.now()) / 1e6)):
-            self.desk.overdue(req)
-        self.book.add(f"answers.{told_of(req.outcome)}")
-        if isinstance(req.outcome, Shed):
-            return Answer(503, b"", self.feedback() + advice(req.outcome))
-        made = req.answer or Answer(500)              # what the run made goes out unchanged
+        if not request.gate.acquire(timeout=max(0.0, (request.due - clock.now()) / 1e6)):
+            self.desk.overdue(request)
+        self.book.add(f"answers.{told_of(request.outcome)}")
+        if isinstance(request.outcome, Shed):
+            return Answer(503, b"", self.feedback() + advice(request.outcome))
+        made = request.answer or Answer(500)          # what the run made goes out unchanged
         return made if self.standing.level is None else made._replace(fields=made.fields + self.feedback())
 
     def feedback(self) -> tuple[tuple[str, str], ...]:
--- a/gullyoke/front/scgi.py
+++ b/gullyoke/front/scgi.py
@@ -5,8 +5,7 @@
 from gullyoke.codec.buffer import Buffer
 from gullyoke.core.ends import End
 from gullyoke.core.message import Answer, Message, Unfit
-from gullyoke.core.sockets import finish
-from gullyoke.front.connections import Connection
+from gullyoke.front.connection import Connection
 from gullyoke.front.http1 import HEALTH
 from gullyoke.front.intake import Intake
 
@@ -18,23 +17,22 @@
     def __init__(self, intake: Intake, name: str = "scgi") -> None:
         self.intake, self.name = intake, name
 
-    def exchange(self, conn: Connection, buffer: Buffer) -> End:
-        conn.rests()
+    def exchange(self, connection: Connection, buffer: Buffer) -> End:
+        connection.rest()
         try:
-            message = scgi.read(buffer, conn.begun)
+            message = scgi.read(buffer, connection.begin_message)
             if message is None:
                 return End.CLOSED
-            answer = self.take(message, conn)
+            answer = self.take(message, connection)
         except Unfit as fault:
-            answer = conn.unfit(fault)
-        conn.answers(scgi.answer(answer))
-        finish(conn.sock)
+            answer = connection.table.refused(connection, fault)
+        connection.answer(scgi.answer(answer))
         return End.DECLARED
 
-    def take(self, message: Message, conn: Connection) -> Answer:
+    def take(self, message: Message, connection: Connection) -> Answer:
         method, path, _ = message.first
         if path == HEALTH:
             if method not in ("GET", "HEAD"):
                 raise Unfit(405, "method")
             return self.intake.health()
-        return self.intake.req(message, conn)
+        return self.intake.request(message, connection)
--- a/gullyoke/options.py
+++ b/gullyoke/options.py
@@ -118,10 +118,13 @@
     handlers = []
     for i in range(get.whole("Profiles.count", least=1)):
         own = get.at(f"Profiles.{i}")
+        kind = own.choice("Semantics", KINDS)
+        keyed = kind is Kind.UNIQUED                  # without its window no repeat would be known
         handlers.append(Handler(
             own.text("Name"), own.whole("ObjectiveUs", least=1), own.whole("DeadlineUs", least=1),
-            own.number("Importance"), own.choice("Semantics", KINDS), own.number("LateWorth", 0.0),
-            own.whole("KeyTtlUs", 0), calls[i] if i < len(calls) else False,
+            own.number("Importance"), kind, own.number("LateWorth", 0.0),
+            own.whole("KeyTtlUs", least=1) if keyed else own.whole("KeyTtlUs", 0),
+            calls[i] if i < len(calls) else False,
             skips[i] if i < len(skips) else 0.0, own.number("AimStretch", 0.0)))
     customers = [Customer(own.text("Name"), own.number("QuotaPerS"))
                  for own in (get.at(f"Orgs.{i}") for i in range(get.whole("Orgs.count", 0)))]
--- a/gullyoke/work/engine.py
+++ b/gullyoke/work/engine.py
@@ -49,8 +49,8 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Its address is another from now on. Runs go on; the new link tells what the old one did not."""
-        self.address = address
         with self.bell:
+            self.address = address
             if self.sock is not None:
                 shut(self.sock)
         self.moved.set()
@@ -100,7 +100,7 @@
                 return
             if took < len(data):
                 self.rest = data[took:]
-                self.bell.notify()
+                self.bell.notify_all()
         self.book.add("engine.commands", len(batch))
 
     def write(self) -> None:
@@ -120,6 +120,7 @@
         finally:
             with self.bell:
                 self.writing = False
+                self.bell.notify_all()
 
     # Notices.
 
@@ -129,10 +130,7 @@
         while True:
             before = self.last
             end, why = served(self.attach_and_read, lambda: self.book.fault("engine"))
-            with self.bell:
-                self.attached, sock, self.sock = False, self.sock, None
-            if sock is not None:
-                sock.close()
+            self.close()
             self.book.add(f"ends.engine.{end.value}")
             # A peer that stays away would fill the log with one line; the counters go on counting.
             log.log(DEBUG if end is last else WARNING, "link to the engine ended",
@@ -143,9 +141,24 @@
                 self.moved.clear()
                 pause = PAUSES[0]
 
+    def close(self) -> None:
+        """Close the link, by the reading thread alone, once no other thread writes on it."""
+        with self.bell:
+            self.attached, sock, self.sock = False, self.sock, None
+            if sock is None:
+                return
+            shut(sock)                                # ends a write that is going on
+            while self.writing:
+                self.bell.wait()
+        sock.close()
+
     def attach_and_read(self) -> End:
-        sock = connected(self.address, CONNECT)
-        self.sock, self.mark = sock, ""
+        address = self.address
+        sock = connected(address, CONNECT)
+        with self.bell:
+            self.sock, self.mark = sock, ""
+            if address != self.address:               # moved while this link came about
+                raise Ended(End.DECLARED, "the engine's address is another now")
         sock.sendall(command("ATTACH", self.last))
         buffer = Buffer(Receiver(sock), lines.BUFFER)
         while (words := lines.read(buffer)) is not None:
@@ -206,7 +219,7 @@
             self.sent.clear()
             self.outbox.extendleft(reversed(again))
             self.attached, self.mark, self.rest = True, "", b""     # the old link's rest is void
-            self.bell.notify()
+            self.bell.notify_all()
         if again:
             self.book.add("engine.repeated", len(again))
 
--- a/tests/front/test_fronts.py
+++ b/tests/front/test_fronts.py
@@ -85,7 +85,7 @@
         fields = {"Accepted-At-Ms": str((self.now - age) // 1000), "Max-Wait-Ms": str(patience)}
         if key:
             fields["Replay-Key"] = key
-        data = message(name, handler, scgi=by is scgi, **fields)
+        data = message(name, handler, scgi=by is scgi, of=key, **fields)
         at = len(data) // 2 if self.cut is None else self.cut % len(data)
         got = by.read(Buffer(Pieces(data[:at], data[at:]), scgi.BUFFER))
         admit.admit(self.desk, admit.made(self.desk, got, by.__name__))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -27,11 +27,11 @@
 def site(**over):
     """A configuration with the settings' own names; `over` changes a few of them."""
     g = dict(timeout=60_000, target=20_000, fresh=0, grace=1000, idle=30_000, cores=2, stop="off",
-             window=5000)
+             window=5000, classes="")
     g.update({key: over[key] for key in g if key in over})
-    profiles = [{"Name": name, "ObjectiveUs": int(g["target"] * 1000), "DeadlineUs": int(g["timeout"] * 1000),
-                 "Importance": value, "Semantics": kind, "LateWorth": 0.2,
-                 "KeyTtlUs": int(g["window"] * 1000)}
+    profiles = [{"Name": g["classes"] + name, "ObjectiveUs": int(g["target"] * 1000),
+                 "DeadlineUs": int(g["timeout"] * 1000), "Importance": value,
+                 "Semantics": kind, "LateWorth": 0.2, "KeyTtlUs": int(g["window"] * 1000)}
                 for name, kind, value, _, _ in HANDLERS]
     info = {"Cores": int(g["cores"]), "MemoryKb": 1e6, "Blowup": 4.0, "KeyKb": 10.0, "FreshStart": False,
             "StopMode": g["stop"], "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
@@ -58,9 +58,10 @@
     return word
 
 
-def message(name, handler, length="", scgi=False, **fields):
-    """A gateway's req; fields that are given as 'no' are left out."""
-    body = f"body of {name}".encode()
+def message(name, handler, length="", scgi=False, of=None, **fields):
+    """A gateway's req; fields that are given as 'no' are left out. `of` is the first try that this one
+    repeats: a repeat carries the same body."""
+    body = f"body of {of or name}".encode()
     if scgi:
         fields |= {"Content-Length": "no"}
     given = {"Trace-Id": tid(name), "Accepted-At-Ms": str(int(time.time() * 1000)), "Client-No": "1",
@@ -246,6 +247,7 @@
         self.engine, self.db, self.naming = Engine(), StandIn(), Names()
         self.root, self.rest, self.latest, self.pooled, self.rows = ROOT, {}, {}, [], None
         self.given, self.gateways, self.process, self.lines, self.config = {}, {}, None, [], None
+        self.firsts = {}                              # by key, the name of its first try
 
     def close(self):
         for peer in (self.engine, self.db, self.naming, *self.backends.values()):
@@ -283,8 +285,9 @@
             "\n".join([self.row(*row) for row in self.rows] + self.pooled))
         self.operator.write_text("\n".join([*self.wanted, pool]))
         at = "{}:{}".format
-        config = {"name": "n3", "listen": at(*self.listen), "engine": at(*self.engine.address),
-                  "naming": at(*self.naming.address), "db": at(*self.db.address), "seed": "8c1f30d27a5be964",
+        config = {"name": self.given.get("name", "n3"), "listen": at(*self.listen),
+                  "engine": at(*self.engine.address), "naming": at(*self.naming.address),
+                  "db": at(*self.db.address), "seed": "8c1f30d27a5be964",
                   "stop_ms": int(self.given.get("stop_ms", 1500)), "settings": site(**self.given),
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": int(self.given.get("sockets", 1024))}}
         pathlib.Path(self.config).write_text(json.dumps(config))
@@ -489,13 +492,22 @@
     def at_log(self, *words):
         self.said(" ".join(words))
 
+    def counters(self):
+        """The counters as they stand now, by their names."""
+        self.process.send_signal(signal.SIGUSR1)
+        time.sleep(0.05)
+        last = next((x for x in reversed(self.lines) if "event=counters" in x), "")
+        return dict(pair.split("=", 1) for pair in last.split() if "=" in pair)
+
     def at_counter(self, name, wanted):
+        self.eventually(lambda: self.counters().get(name) == wanted,
+                        f"{name}={wanted} in {[x for x in self.lines if 'counters' in x][-1:]}")
+
+    def at_ended(self, wanted):
+        """So many connections of gateways have ended by now, however."""
         def ask():
-            self.process.send_signal(signal.SIGUSR1)
-            time.sleep(0.05)
-            last = next((x for x in reversed(self.lines) if "event=counters" in x), "")
-            return f" {name}={wanted} " in last.replace("\n", " ")
-        self.eventually(ask, f"{name}={wanted} in {[x for x in self.lines if 'counters' in x][-1:]}")
+            return sum(int(n) for name, n in self.counters().items() if name.startswith("ends_gateway_"))
+        self.eventually(lambda: ask() == int(wanted), f"{wanted} connections ended")
 
     # The gateways.
 
@@ -537,6 +549,8 @@
             fields = dict(p.split("=", 1) for p in rest[3:])
             if "age" in fields:
                 fields["Accepted-At-Ms"] = str(int(time.time() * 1000) - int(fields.pop("age")))
+            if "Replay-Key" in fields:
+                fields["of"] = fields.get("of") or self.firsts.setdefault(fields["Replay-Key"], rest[1])
             data = message(*rest[1:3], scgi=not number.isdigit(), **fields)
             self.rest[number] = data[-3:]
             for i in range(len(data)) if rest[0] == "torn" else ():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -334,6 +334,10 @@
             ("settings.Rules.TipMultiple", None, "missing setting 'Rules.TipMultiple'"),
             ("settings.Profiles", [], "'Profiles.count'"),
             ("settings.FamilyInfo.MemoryKb", "nan", "'FamilyInfo.MemoryKb'"),
+            ("settings.Profiles", self.profiles(1, Semantics="maybe"), "'Profiles.1.Semantics' is 'maybe'"),
+            ("settings.Profiles", self.profiles(1, Semantics=None), "missing setting 'Profiles.1.Semantics'"),
+            ("settings.Profiles", self.profiles(1, KeyTtlUs=None), "missing setting 'Profiles.1.KeyTtlUs'"),
+            ("settings.Profiles", self.profiles(1, KeyTtlUs=0), "'Profiles.1.KeyTtlUs' is '0'"),
         ):
             wrong = json.loads(json.dumps(whole))
             *way, last = path.split(".")
@@ -347,6 +351,36 @@
             with self.assertRaisesRegex(Misstated, said):
                 told(env)
 
+    @staticmethod
+    def profiles(number, **over):
+        """The site's classes, one of them with other settings."""
+        rows = site()["Profiles"]
+        rows[number] |= over
+        return rows
+
+    def test_no_dependency(self):
+        """Where the settings name nothing below, no address of a database is needed; where they do, it is."""
+        alone = {"name": "n3", "listen": "127.0.0.1:7001", "engine": "127.0.0.1:1",
+                 "naming": "127.0.0.1:2", "seed": "8c1f", "stop_ms": 3200, "settings": site()}
+        with self.assertRaisesRegex(Misstated, "missing key 'db'"):
+            self.told(alone)
+        alone["settings"]["FamilyInfo"]["DependsOn"] = "off"
+        self.assertIsNone(self.told(alone).database)
+        with self.assertRaisesRegex(Misstated, "key 'db' is 'nowhere'"):
+            self.told(alone | {"db": "nowhere"})
+
+    def test_another_servers_file(self):
+        """A new configuration with another name, other classes or other tenants is another server's."""
+        whole = {"name": "n3", "listen": "127.0.0.1:7001", "engine": "127.0.0.1:1", "naming": "127.0.0.1:2",
+                 "db": "127.0.0.1:3", "seed": "8c1f", "stop_ms": 3200, "settings": site()}
+        ours = self.told(whole)
+        self.assertIsNone(ours.strange(self.told(whole | {"engine": "127.0.0.1:9", "stop_ms": 99})))
+        self.assertEqual(ours.strange(self.told(whole | {"name": "n4"})), "name")
+        self.assertEqual(ours.strange(self.told(whole | {"settings": site(classes="x-")})),
+                         "settings.Profiles")
+        shared = site() | {"Orgs": [{"Name": "one", "QuotaPerS": 5.0}]}
+        self.assertEqual(ours.strange(self.told(whole | {"settings": shared})), "settings.Orgs")
+
     @staticmethod
     def told(config):
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
