Crossings forced on real sockets, a hundred times each; the beat outlives an error

Need: what comes between two lines (a request at a half-close, a repeat at its run's end, a reply at its give-up, a signal before its mask) was covered by chance.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -429,6 +429,7 @@
 
     def gauges(self, now: int, gauges) -> None:
         self.now = now
+        self.door.wake(TICK)                                 # first: an error below must not end the beat
         if gauges.busy is None:                              # no such gauge here: what runs stands for it
             gauges = gauges._replace(busy=min(1.0, self.on / self.machine.cores))
         room = math.inf if gauges.room is None else gauges.room
@@ -453,7 +454,6 @@
                 self.step(req, Word.LATE)
             elif self.worthless(req):
                 self.step(req, Word.OUT)
-        self.door.wake(TICK)
 
     def settle(self, now: int) -> None:
         """After a batch: a new episode if one is due, then turns for the cores and for calls."""
--- a/gullyoke/daemon/route.py
+++ b/gullyoke/daemon/route.py
@@ -83,9 +83,9 @@
     def ask(self) -> None:
         self.awaited += 1
         tag = self.awaited
-        self.engine.stat(tag)
         # From this moment, not from the last event's: where little happens that is older than the whole wait.
         self.timer.at(clock.now() + STATS_WAIT, lambda: self.woken(tag, {}))
+        self.engine.stat(tag)
 
     def woken(self, tag: int, got: dict[str, float]) -> None:
         with self.desk.lock:
--- a/gullyoke/front/connections.py
+++ b/gullyoke/front/connections.py
@@ -1,7 +1,6 @@
 """The connections of all listeners: accepted, a thread each, ended when silent, stalled or at the stop."""
 from __future__ import annotations
 
-import errno
 import select
 import socket
 import threading
@@ -43,11 +42,11 @@
 
 
 class Listener:
-    """Where one front listens. Its accepting thread owns the socket and closes it. Table: `placed`, its
-    connections that take a place; each leaves when its end is decided."""
+    """Where one front listens. Its accepting thread owns the socket and closes it, once it is `shut`. Table:
+    `placed`, its connections that take a place; each leaves when its end is decided."""
 
     def __init__(self, sock: socket.socket, front: Front) -> None:
-        self.sock, self.front = sock, front
+        self.sock, self.front, self.shut = sock, front, False
         self.placed: dict[Connection, None] = {}
 
 
@@ -75,17 +74,17 @@
             threading.Thread(target=self.accept, args=(listener,), name="accept", daemon=True).start()
 
     def accept(self, listener: Listener) -> None:
-        """An accepting thread's life."""
-        while not self.standing.closing:
+        """An accepting thread's life. It closes the listening socket once that is shut, and not before:
+        closing resets whatever waits in the backlog."""
+        while not listener.shut:
             self.wait_for_descriptor()
             try:
                 sock, _ = listener.sock.accept()
             except OSError as fault:
-                if self.standing.closing or fault.errno in (errno.EBADF, errno.EINVAL):
-                    break                             # shut at the end of the drain
-                # Guards against running out of descriptors or memory: what waits stays in the backlog.
-                self.book.add("accept.failed")
-                log.warning("accept failed", extra=pairs(why=fault))
+                if not self.standing.closing:         # what waits stays in the backlog
+                    # Guards against running out of descriptors or memory.
+                    self.book.add("accept.failed")
+                    log.warning("accept failed", extra=pairs(why=fault))
                 time.sleep(ACCEPT_RETRY_S)
                 continue
             self.take(sock, listener)
@@ -191,11 +190,13 @@
             self.desk.tell(connection.request, word)
         for table in (self.fresh, self.idle):
             table.pop(connection, None)
-        connection.close(end)                         # may take a moment: it keeps its place so long
-        for table in (connection.listener.placed, self.open, self.closing):
-            table.pop(connection, None)
-        with self.left:
-            self.left.notify_all()
+        try:
+            connection.close(end)                     # may take a moment: it keeps its place so long
+        finally:
+            for table in (connection.listener.placed, self.open, self.closing):
+                table.pop(connection, None)
+            with self.left:
+                self.left.notify_all()
 
     def refused(self, connection: Connection, fault: Unfit) -> Answer:
         """What came is no request: counted, said, and what is answered."""
@@ -261,6 +262,7 @@
                     break
                 sock.setblocking(True)
                 self.take(sock, listener)
+            listener.shut = True
             shut(listener.sock)                       # wakes its accepting thread, which closes it
         with self.left:
             self.left.notify_all()
--- a/gullyoke/work/engine.py
+++ b/gullyoke/work/engine.py
@@ -16,6 +16,7 @@
 
 CONNECT = 1.0                          # seconds for a connection to come about
 PAUSES = (0.02, 1.0)                   # seconds before the next try: the first, and the longest
+SENT = 256                             # commands that no gauges confirm, before they are looked through
 
 
 class Sent(NamedTuple):
@@ -28,7 +29,8 @@
 
 class Engine:
     """Tables: `outbox`, commands not yet written; `sent`, written since the last gauges that were answered,
-    which prove that the engine read what was written before. Both hold a few for each req in hand. `rest` is
+    which prove that the engine read what was written before. Both hold a few for each req in hand; where
+    gauges stay out for long, `sent` is rid of reqs that are over. `rest` is
     what the link did not take at once of the last command; `writing`, whether the thread writes."""
 
     def __init__(self, address: tuple[str, int], gauges: tuple[str, ...], book: Book) -> None:
@@ -40,6 +42,7 @@
         self.last, self.marks, self.mark, self.attached = 0, 0, "", False
         self.rest, self.writing = b"", False
         self.moved = threading.Event()
+        self.look_at = SENT
 
     def start(self, heard) -> None:
         self.heard = heard
@@ -87,9 +90,7 @@
         with self.bell:
             if not self.outbox or not self.attached or self.rest or self.writing:
                 return                                # the writing thread is at it, or will be
-            batch = list(self.outbox)
-            self.outbox.clear()
-            self.sent.extend(batch)                   # a send that breaks may have carried any part of it
+            batch = self._batch()
             data = b"".join(s.data for s in batch)
             try:
                 took = self.sock.send(data, socket.MSG_DONTWAIT)
@@ -103,14 +104,26 @@
                 self.bell.notify_all()
         self.book.add("engine.commands", len(batch))
 
+    def _batch(self) -> list[Sent]:
+        """All that is to be written now; from here on it may have reached the engine, in part or whole."""
+        batch = list(self.outbox)
+        self.outbox.clear()
+        self.sent.extend(batch)
+        if len(self.sent) > self.look_at:
+            last = max((s.tag for s in self.sent), default=-1)
+            self.sent = deque(s for s in self.sent if self._in_hand(s) or 0 <= s.tag == last)
+            self.look_at = max(SENT, 2 * len(self.sent))
+        return batch
+
+    def _in_hand(self, sent: Sent) -> bool:
+        return sent.req is not None and sent.req.tid in self.heard.desk.reqs
+
     def write(self) -> None:
         """Write what there is, once there is something and a link to write it on."""
         with self.bell:
             while not (self.attached and (self.outbox or self.rest)):
                 self.bell.wait()
-            batch, sock, rest = list(self.outbox), self.sock, self.rest
-            self.outbox.clear()
-            self.sent.extend(batch)                   # a send that breaks may have carried any part of it
+            batch, sock, rest = self._batch(), self.sock, self.rest
             self.rest, self.writing = b"", True
         try:
             sock.sendall(rest + b"".join(s.data for s in batch))
@@ -214,8 +227,7 @@
         `FEED` might be doubled where its run goes on without a notice; no call of it waits then.
         """
         with self.bell:
-            again = [s for s in self.sent if s.req is not None and s.noticed == s.req.noticed
-                     and s.req.tid in self.heard.desk.reqs]
+            again = [s for s in self.sent if self._in_hand(s) and s.noticed == s.req.noticed]
             self.sent.clear()
             self.outbox.extendleft(reversed(again))
             self.attached, self.mark, self.rest = True, "", b""     # the old link's rest is void
--- /dev/null
+++ b/tests/crossing/test_connections.py
@@ -0,0 +1,398 @@
+"""Client connections: a request, half of one, or an end that comes between two lines of the server's own."""
+import errno
+import queue
+import random
+import threading
+import unittest
+from unittest import mock
+
+from standins import message, site
+
+from crossing.live import REPEATS, Client, Live, apart, descriptors, eventually, unread
+from gullyoke.core import crew as crew_module
+from gullyoke.core.book import Book
+from gullyoke.core.crew import Crew
+from gullyoke.core.desk import Desk
+from gullyoke.core.ends import End
+from gullyoke.core.standing import Standing
+from gullyoke.front import connection as connection_module
+from gullyoke.front import connections as connections_module
+from gullyoke.front.connection import Connection, State
+from gullyoke.front.connections import ConnectionTable
+from gullyoke.front.http1 import Http1
+from gullyoke.front.intake import Intake
+from gullyoke.front.room import Room
+from gullyoke.options import facts_of, flat
+
+
+class Idle(unittest.TestCase):
+    """The end of an idle connection, and a request on its way."""
+
+    def crossed(self, when):
+        """A request sent `before` or `after` the half-close reaches the server: the client sees an orderly
+        end, and nothing of the request is run."""
+        with Live() as live:
+            for i in range(REPEATS):
+                client, real = live.client(), connection_module.half_close
+                live.served(client, f"s{i}")
+                ours = live.connection(client)
+                eventually(lambda ours=ours: ours.state is State.IDLE, "idle")
+                ended, crossed = live.count("ends.gateway.idle"), live.count("messages.crossed")
+
+                def close(sock, client=client, name=f"x{i}", real=real):
+                    with mock.patch.object(connection_module, "half_close", real):
+                        if when == "before":
+                            client.send(name)
+                        real(sock)
+                        if when == "after":
+                            client.send(name)
+
+                with mock.patch.object(connection_module, "half_close", close):
+                    self.assertTrue(ours.close_idle(End.IDLE))
+                self.assertIsNone(client.answer())         # raises where the connection was reset
+                eventually(lambda ended=ended: live.count("ends.gateway.idle") == ended + 1, "its end")
+                self.assertEqual(live.count("messages.crossed"), crossed + 1)
+                client.close()
+                eventually(lambda: not live.connections.open, "closed")
+                live.unheard()
+
+    @apart
+    def test_request_before_the_half_close(self):
+        self.crossed("before")
+
+    @apart
+    def test_request_after_the_half_close(self):
+        self.crossed("after")
+
+    @apart
+    def test_first_bytes_are_in_the_socket(self):
+        """What has come and is not yet read keeps a connection from being taken for idle."""
+        with Live() as live:
+            client = live.client()
+            live.served(client, "first")
+            ours = live.connection(client)
+            for i in range(REPEATS):
+                eventually(lambda: ours.state is State.IDLE, "idle")
+                held, go = threading.Event(), threading.Event()
+
+                def wait(connection, held=held, go=go):
+                    held.set()
+                    go.wait(10)
+
+                # The owner has read nothing yet: it stands before its receive, the bytes lie in the socket.
+                with live.hook(Connection, "rest", wait):
+                    live.served(client, f"a{i}")
+                    self.assertTrue(held.wait(10))
+                    client.send(f"b{i}")
+                    eventually(lambda: unread(ours.sock), "bytes in the socket")
+                    with ours.lock:
+                        ours.state = State.IDLE                # as it was a moment before
+                    self.assertFalse(ours.close_idle(End.IDLE))
+                    go.set()
+                live.run(f"b{i}")
+                live.done(f"b{i}")
+                self.assertEqual(client.answer(), (200, "fine"))
+
+    @apart
+    def test_read_but_not_begun(self):
+        """The owner has received the first bytes and the end is decided before it says so: orderly, unrun."""
+        with Live() as live:
+            for i in range(REPEATS):
+                client = live.client()
+                live.served(client, f"s{i}")
+                ours = live.connection(client)
+                eventually(lambda ours=ours: ours.state is State.IDLE, "idle")
+
+                def decide(connection, state, ours=ours):
+                    if connection is ours and state is State.READING:
+                        self.assertTrue(ours.close_idle(End.IDLE))
+
+                with live.hook(Connection, "_enter", decide):
+                    client.send(f"x{i}")
+                    self.assertIsNone(client.answer())
+                client.close()
+                eventually(lambda: not live.connections.open, "closed")
+                live.unheard()
+
+    @apart
+    def test_half_a_message_is_not_idle(self):
+        """Half a line has come: no sweep takes the connection for idle, and the rest of it is answered."""
+        with Live(idle=200) as live:
+            client = live.client()
+            live.served(client, "first")
+            ours = live.connection(client)
+            for i in range(REPEATS):
+                data = message(f"h{i}", "view")
+                cut = random.Random(i).randrange(1, len(data))
+                client.sock.sendall(data[:cut])
+                eventually(lambda: ours.state is State.READING, "reading")
+                self.assertFalse(ours.close_idle(End.IDLE))
+                self.assertFalse(ours.close_idle(End.LEAVING))
+                client.sock.sendall(data[cut:])
+                live.run(f"h{i}")
+                live.done(f"h{i}")
+                self.assertEqual(client.answer(), (200, "fine"))
+
+    @apart
+    def test_peer_that_never_closes(self):
+        """A client that keeps its side open after our half-close holds no thread or descriptor for long."""
+        with Live() as live:
+            for i in range(max(3, REPEATS // 10)):
+                clients = [live.client() for _ in range(5)]
+                for n, client in enumerate(clients):
+                    live.served(client, f"c{i}x{n}")
+                for client in clients:
+                    ours = live.connection(client)
+                    eventually(lambda ours=ours: ours.state is State.IDLE, "idle")
+                    self.assertTrue(ours.close_idle(End.IDLE))
+                    live.connections.decided(ours)
+                eventually(lambda: not live.connections.open, "all closed")
+                self.assertFalse(live.connections.closing or live.connections.idle)
+                for client in clients:
+                    client.close()
+
+
+class Stalled(unittest.TestCase):
+    @apart
+    def test_last_byte_meets_the_stall(self):
+        """The last byte of a slow message comes as it is given up: run and answered, or neither."""
+        with Live() as live:
+            real = connection_module.shut
+            for i in range(REPEATS):
+                client = live.client()
+                live.served(client, f"s{i}")
+                ours = live.connection(client)
+                data = message(f"x{i}", "view")
+                client.sock.sendall(data[:-1])
+                eventually(lambda ours=ours: ours.state is State.READING, "reading")
+
+                def late(sock, client=client, data=data, ours=ours):
+                    if sock is ours.sock and threading.current_thread() is threading.main_thread():
+                        client.sock.sendall(data[-1:])
+                        eventually(lambda: not unread(sock), "the last byte read")
+                    real(sock)
+
+                with mock.patch.object(connection_module, "shut", late):
+                    decided = ours.abort(End.STALLED, {State.READING}, ours.since)
+                self.assertTrue(decided)
+                with self.subTest(i):
+                    try:
+                        self.assertIsNone(client.answer())
+                    except ConnectionResetError:
+                        pass
+                client.close()
+                eventually(lambda: not live.connections.open, "closed")
+                live.unheard()
+            self.assertEqual(live.count("ends.gateway.stalled"), REPEATS)
+
+    @apart
+    def test_sweep_meets_a_message_that_is_whole(self):
+        """The sweep has seen an old message in the making; by the time it acts, its request is in hand."""
+        with Live() as live:
+            client = live.client()
+            live.served(client, "first")
+            ours = live.connection(client)
+            for i in range(REPEATS):
+                data = message(f"x{i}", "view")
+                client.sock.sendall(data[:-1])
+                eventually(lambda: ours.state is State.READING, "reading")
+                first, complete = threading.Lock(), threading.Event()
+
+                def rest(connection, *given, data=data, i=i, first=first, complete=complete):
+                    if connection is ours and first.acquire(blocking=False):
+                        client.sock.sendall(data[-1:])
+                        live.run(f"x{i}")
+                        complete.set()
+                    complete.wait(10)                  # the server's own sweep may be at it too
+
+                with live.hook(Connection, "abort", rest):
+                    ours.since -= 2 * connections_module.STALL_US
+                    live.connections.sweep()
+                    self.assertTrue(complete.wait(10))
+                live.done(f"x{i}")
+                self.assertEqual(client.answer(), (200, "fine"))
+                eventually(lambda: ours.state is State.IDLE, "idle")
+
+
+class Listeners(unittest.TestCase):
+    @apart
+    def test_connection_between_last_accept_and_close(self):
+        """It is neither run nor left open: the client is told by the end of the connection at once."""
+        desk = Desk(facts_of(flat(site())), 1, Book())
+        real = connections_module.shut
+        for _ in range(REPEATS):
+            standing, book = Standing(0), Book()
+            table = ConnectionTable(Room(10), desk, standing, book)
+            table.listen(("127.0.0.1", 0), Http1(Intake(desk, standing, book)))
+            table.start()
+            listener, clients = table.listeners[0], []
+
+            def late(sock, listener=listener, clients=clients):
+                if sock is listener.sock:
+                    clients.append(Client(sock.getsockname()))
+                    clients[0].send("late")
+                real(sock)
+
+            with mock.patch.object(connections_module, "shut", late):
+                table.leave()
+            try:
+                answer = clients[0].answer()
+            except OSError as fault:
+                self.assertEqual(fault.errno, errno.ECONNRESET)
+                answer = None
+            # Its accepting thread may have been quicker: then the request is answered, unrun, and closed.
+            self.assertIn(answer, (None, (503, "")))
+            clients[0].close()
+            eventually(lambda table=table: not table.open, "closed")
+            eventually(lambda listener=listener: listener.sock.fileno() < 0, "the listener closed")
+
+    @apart
+    def test_newcomers_wait_for_closing_ones(self):
+        """However fast newcomers come, those that close hold no more descriptors than are set aside."""
+        with Live(sockets=64) as live:
+            table, most = live.connections, live.house.room.most
+            clients, peak = [], [0]
+
+            def look(sock, listener):
+                peak[0] = max(peak[0], len(table.open))
+
+            with live.hook(table, "take", look):
+                for _ in range(3 * most + REPEATS):
+                    client = live.client()
+                    clients.append(client)
+                    client.sock.sendall(b"GET /ping HTTP/1.1\r\n\r\n")
+                    try:
+                        client.answer()
+                    except OSError:
+                        continue
+            self.assertLessEqual(peak[0], most + connections_module.CLOSING_MOST)
+            self.assertEqual(live.count("accept.failed"), 0)
+            for client in clients:
+                client.close()
+
+
+class LateBox:
+    """A worker's box whose first wait ends without a task, just as one is put there."""
+
+    def __init__(self, crew, task):
+        self.crew, self.task, self.items, self.bell = crew, task, [], threading.Event()
+
+    def put(self, item):
+        self.items.append(item)
+        self.bell.set()
+
+    def get(self, timeout=None):
+        if timeout is not None:
+            if self.task is not None:
+                task, self.task = self.task, None
+                assert self.crew.hand(task)
+            raise queue.Empty
+        assert self.bell.wait(10)
+        return self.items.pop(0)
+
+
+class Workers(unittest.TestCase):
+    def test_handed_over_as_it_stops_resting(self):
+        """A worker's rest is over in the very moment in which it is handed a connection: it serves it."""
+        for _ in range(REPEATS):
+            acted = []
+            crew = Crew(acted.append)
+            box = LateBox(crew, "second")
+            with mock.patch.object(crew_module.queue, "SimpleQueue", lambda box=box: box):
+                thread = threading.Thread(target=crew.work, args=("first",))
+                thread.start()
+                thread.join(10)
+            self.assertFalse(thread.is_alive())
+            self.assertEqual(acted, ["first", "second"])
+            self.assertEqual(crew.resting, [])
+
+
+class BadInput(unittest.TestCase):
+    """Each kind of what can't be read gets its status and its counter; no thread or descriptor is left."""
+
+    CASES = (
+        (b"nonsense\r\n\r\n", 400), (b"POST /call/view HTTP/2\r\n\r\n", 505),
+        (b"POST /call/view HTTP/1.1\r\n\r\n", 411),
+        (b"POST /call/view HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST /call/view HTTP/1.1\r\nContent-Length: 99999999999999\r\n\r\n", 413),
+        (b"POST /call/view HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 70000, 413),
+        (b"POST /call/view HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\nx", 501),
+        (b"POST /call/view HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", 400),
+        (b"POST /call/none HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 404),
+        (b"GET /call/view HTTP/1.1\r\n\r\n", 405), (b"POST /else HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 404),
+        (b"POST /call/view HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400),          # no id
+        (b"GET /ping HTTP/1.1\r\nno colon\r\n\r\n", 400), (b"GET /ping HTTP/1.1\r\nA: b\nC: d\r\n\r\n", 400),
+        (b"GET /ping HTTP/1.1\r\nA: " + b"x" * 5000, 431),
+        (message("a", "view", **{"Reserve-Kb": "nan"}), 400),
+        (message("a", "view", **{"Reserve-Kb": "-1"}), 400),
+        (message("a", "view", **{"Max-Wait-Ms": "1e9"}), 400),
+        (message("a", "view", **{"Standing": "1.5"}), 400),
+        (message("a", "view", **{"Accepted-At-Ms": "soon"}), 400),
+        (message("a", "view", **{"Project": "nobody"}), 400),
+    )
+
+    @apart
+    def test_messages(self):
+        with Live() as live:
+            warm = live.client()
+            live.served(warm, "first")
+            for data, status in self.CASES:            # threads that rest are there from now on
+                self.ask(live, data, status)
+            eventually(lambda: len(live.connections.open) == 1, "closed")
+            threads, held = threading.active_count(), descriptors()
+            over_unread = []                           # closing over unread bytes would reset the connection
+            live.enter_context(live.hook(connection_module, "shut",
+                                         lambda sock: over_unread.append(unread(sock))))
+            for i in range(max(1, REPEATS // 10)):
+                for data, status in self.CASES:
+                    before = live.count(f"unfit.{status}"), live.count("ends.gateway.declared")
+                    with self.subTest(data=data[:60], i=i):
+                        self.ask(live, data, status)
+                        eventually(lambda: len(live.connections.open) == 1, "closed")
+                        after = live.count(f"unfit.{status}"), live.count("ends.gateway.declared")
+                        self.assertEqual(after, (before[0] + 1, before[1] + 1))
+            self.assertEqual(set(over_unread), {False})
+            self.assertLessEqual(threading.active_count(), threads)
+            self.assertEqual(descriptors(), held)
+            live.unheard()
+            live.served(warm, "last")
+
+    def ask(self, live, data, status):
+        client = live.client()
+        try:
+            client.sock.sendall(data)
+        except OSError:
+            pass                                       # refused before its end
+        try:
+            self.assertEqual(client.answer(), (status, ""))
+            self.assertIsNone(client.answer())
+        finally:
+            client.close()
+
+    @apart
+    def test_cut_and_torn(self):
+        """Messages cut off at any byte, by an end or a reset, leave nothing behind."""
+        with Live() as live:
+            warm = live.client()
+            live.served(warm, "first")
+            data = message("cut", "view")
+            threads, held = None, None
+            for i in range(REPEATS):
+                client = live.client()
+                client.sock.sendall(data[:random.Random(i).randrange(1, len(data))])
+                if i % 2:
+                    client.sock.setsockopt(connection_module.socket.SOL_SOCKET,
+                                           connection_module.socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                client.close()
+                eventually(lambda i=i: live.count("connections.opened") == i + 2, "accepted")
+                eventually(lambda: len(live.connections.open) == 1, "closed")
+                if i == 4:
+                    threads, held = threading.active_count(), descriptors()
+            self.assertEqual(descriptors(), held)
+            self.assertLessEqual(threading.active_count(), threads + 1)
+            live.unheard()
+            live.served(warm, "last")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/crossing/test_requests.py
@@ -0,0 +1,363 @@
+"""Requests, runs and calls: an answer, a repeat, a reply or a broken link that comes between two lines."""
+import socket
+import threading
+import types
+import unittest
+from unittest import mock
+
+from standins import PATIENCE, tid
+
+from crossing.live import REPEATS, Live, apart, eventually
+from gullyoke.below import database as database_module
+from gullyoke.core import desk as desk_module
+from gullyoke.core.desk import Desk
+from gullyoke.core.repeats import Repeats
+from gullyoke.daemon.relay import Relay
+from gullyoke.front import intake as intake_module
+from gullyoke.port import PAST, Handler, Kind, Word
+from gullyoke.work.engine import Engine
+
+
+def answers(live):
+    return sum(live.count(f"answers.{how}") for how in ("done", "shed", "errored"))
+
+
+class Gate:
+    """What a request's thread waits at, in the place of a lock: a test says when the time is up."""
+
+    def __init__(self):
+        self.bell, self.locked, self.over = threading.Condition(), False, False
+
+    def acquire(self, timeout=None):
+        with self.bell:
+            if timeout is not None:
+                self.bell.wait_for(lambda: not self.locked or self.over, PATIENCE)
+            got, self.locked = not self.locked, True
+            return got
+
+    def release(self):
+        with self.bell:
+            self.locked = False
+            self.bell.notify_all()
+
+    def expire(self):
+        with self.bell:
+            self.over = True
+            self.bell.notify_all()
+
+
+class Deadline(unittest.TestCase):
+    def meet(self, first):
+        """A request's time is up as its run ends; `first` says which of the two comes first by a moment."""
+        with Live() as live:
+            client = live.client()
+
+            def before_overdue(desk, request):
+                live.done(request_name(request))
+                if first == "run":
+                    eventually(lambda: request.outcome is not None, "answered by the run")
+
+            def before_done(relay, name, end, result):
+                request = live.desk.reqs[name]
+                if first == "deadline":
+                    eventually(lambda: request.outcome is not None, "answered at its deadline")
+
+            def before_counted(outcome):               # between the last guard and the answer's writing
+                eventually(lambda: not live.desk.reqs, "the run's end handled")
+
+            with live.hook(Desk, "overdue", before_overdue), live.hook(Relay, "done", before_done), \
+                    live.hook(intake_module, "told_of", before_counted), \
+                    mock.patch.object(desk_module, "threading", types.SimpleNamespace(Lock=Gate)):
+                for i in range(REPEATS):
+                    client.send(f"x{i}")
+                    live.run(f"x{i}")
+                    live.desk.reqs[tid(f"x{i}")].gate.expire()
+                    self.assertEqual(client.answer(), (200, "fine") if first == "run" else (500, ""))
+                    eventually(lambda: not live.desk.reqs, "out of hand")
+                    self.assertEqual(answers(live), i + 1)
+            self.assertEqual(live.count("answers.overdue"), REPEATS)
+
+    @apart
+    def test_run_ends_first(self):
+        self.meet("run")
+
+    @apart
+    def test_deadline_comes_first(self):
+        self.meet("deadline")
+
+
+def request_name(request):
+    return bytes.fromhex(request.tid).lstrip(b"\0").decode()
+
+
+class Keyed(unittest.TestCase):
+    def meet(self, first):
+        """A repeat comes as the run of the one it repeats ends: both are answered by that one run."""
+        with Live() as live:
+            one, two = live.client(), live.client()
+            for i in range(REPEATS):
+                read = live.count("reqs.read")
+
+                def before_done(relay, req, word, result, i=i, read=read):
+                    two.send(f"r{i}", "book", of=f"k{i}", **{"Replay-Key": f"k{i}", "Is-Retry": "1"})
+                    if first == "repeat":              # it waits for the lock that this thread holds
+                        eventually(lambda: live.connection(two).request is not None, "handed on")
+
+                one.send(f"f{i}", "book", of=f"k{i}", **{"Replay-Key": f"k{i}"})
+                live.run(f"f{i}")
+                with live.hook(Relay, "_done", before_done):
+                    live.done(f"f{i}")
+                    self.assertEqual(one.answer(), (200, "fine"))
+                self.assertEqual(two.answer(), (200, "fine"))
+                live.unheard()
+            self.assertEqual(live.count("answers.done"), 2 * REPEATS)
+
+    @apart
+    def test_repeat_sent_at_the_end(self):
+        self.meet("end")
+
+    @apart
+    def test_repeat_waits_for_the_lock_at_the_end(self):
+        self.meet("repeat")
+
+    @apart
+    def test_repeat_in_hand_at_the_end(self):
+        """The repeat is in hand, waiting for the run, when that ends well, fails, or was never begun."""
+        for end, wanted in (("ok", (200, "fine")), ("failed", (500, "")), ("void", (500, ""))):
+            with self.subTest(end), Live() as live:
+                one, two = live.client(), live.client()
+                for i in range(REPEATS):
+                    one.send(f"f{i}", "book", of=f"k{i}", **{"Replay-Key": f"k{i}"})
+                    live.run(f"f{i}")
+                    two.send(f"r{i}", "book", of=f"k{i}", **{"Replay-Key": f"k{i}"})
+                    eventually(lambda i=i: tid(f"r{i}") in live.desk.reqs, "the repeat in hand")
+                    live.done(f"f{i}", "fine" if end == "ok" else "", end)
+                    self.assertEqual(one.answer(), wanted)
+                    self.assertEqual(two.answer(), wanted)
+                    eventually(lambda: not live.desk.reqs, "out of hand")
+                    live.unheard()
+
+    def test_end_of_a_window(self):
+        """To the microsecond: within the window it is a repeat, later another request; while the first is in
+        hand it is a repeat whenever it comes."""
+        handler = Handler("book", 1, 1, 1.0, Kind.UNIQUED, 0.0, 1000, False, 0.0, 0.0)
+        for kept in range(REPEATS):
+            def request(arrived, content=1):
+                return mock.Mock(handler=handler, key="k", arrived=arrived, content=content, entry=None)
+
+            repeats, first = Repeats(0), request(0)
+            repeats.keep(first, kept + 1000)
+            self.assertIs(repeats.find(request(kept + 1001), kept)[1], first)
+            repeats.ended(first, None, kept)
+            self.assertIs(repeats.find(request(kept + 1000), kept)[1], PAST)
+            self.assertIsNone(repeats.find(request(kept + 1001), kept)[1])
+            self.assertTrue(repeats.conflicts(request(kept + 1000, content=2)))
+            self.assertFalse(repeats.conflicts(request(kept + 1001, content=2)))
+            repeats.expire(kept + 1001 + handler.timeout)
+            self.assertEqual(repeats.entries, {})
+
+
+class Calls(unittest.TestCase):
+    def meet(self, first):
+        """A call's reply comes as the call is given up: the decisions hear one of them, and the run goes on
+        or fails by that one."""
+        with Live() as live:
+            heard, turn = [], {}
+
+            def before_limit(database, asked):
+                turn[asked] = threading.Event()
+                name = request_name(asked.req)
+                eventually(lambda: name in live.db.carries, "the call at the database")
+                link = live.db.carries[name][-1]
+                live.db.say(f"{asked.req.tid} ROWS 5\r\nreply\r\n", link)
+                if first == "reply":
+                    eventually(lambda: asked.over, "the reply read")
+                    eventually(lambda: asked.req.asked is not asked, "the reply taken")
+
+            def before_ended(database, asked):
+                reading = threading.current_thread().name == "database"
+                if first == "limit" and reading and asked in turn:
+                    eventually(lambda: asked.req.asked is not asked, "given up")
+
+            def called(relay, req, word, reply):
+                heard.append(word)
+
+            client = live.client()
+            with live.hook(database_module.Database, "limit", before_limit), \
+                    live.hook(database_module.Database, "_ended", before_ended), \
+                    live.hook(Relay, "called", called), \
+                    mock.patch.object(live.desk.server.below, "try_for", lambda req, now: 50_000):
+                for i in range(REPEATS):
+                    del heard[:]
+                    client.send(f"p{i}", "pay")
+                    live.run(f"p{i}")
+                    live.need(f"p{i}")
+                    got = live.db.heard.get(timeout=PATIENCE)
+                    self.assertEqual(got[:2], ["Q", f"p{i}"])
+                    if first == "reply":
+                        got = live.engine.heard.get(timeout=PATIENCE)
+                        self.assertEqual(got[:3], ["FEED", f"p{i}", "reply"])
+                        live.done(f"p{i}")
+                        self.assertEqual(client.answer(), (200, "fine"))
+                        self.assertEqual(heard, [Word.CALL_OK])
+                    else:                              # it may have had its effect, and is not made again
+                        self.assertEqual(client.answer(), (500, ""))
+                        self.assertEqual(heard, [Word.CALL_LOST])
+                        live.done(f"p{i}", "", "halted")
+                    eventually(lambda: not live.desk.reqs, "out of hand")
+                    live.unheard()
+                    self.assertTrue(live.db.heard.empty())
+
+    @apart
+    def test_reply_first(self):
+        self.meet("reply")
+
+    @apart
+    def test_given_up_first(self):
+        self.meet("limit")
+
+    @apart
+    def test_taken_back_while_it_connects(self):
+        """A call is given up while its connection comes about: the connection carries the next call."""
+        with Live() as live, mock.patch.object(live.desk.server.below, "try_for", lambda req, now: 60_000):
+            client = live.client()
+            real = database_module.connected
+
+            def slow(address, patience):
+                sock = real(address, patience)
+                eventually(lambda: live.count("calls.given_up") == made[0], "given up meanwhile")
+                return sock
+
+            made, hands = [0], live.house.database
+            for i in range(REPEATS):
+                made[0] = i + 1
+                with hands.lock:
+                    old, hands.idle = hands.idle, []
+                for wire in old:
+                    database_module.shut(wire.sock)
+                with mock.patch.object(database_module, "connected", slow):
+                    client.send(f"g{i}")
+                    live.run(f"g{i}")
+                    live.need(f"g{i}")
+                    eventually(lambda: hands.idle, "its connection in the pool")
+                live.engine.heard.get(timeout=PATIENCE)       # it goes on without the call
+                live.done(f"g{i}")
+                self.assertEqual(client.answer(), (200, "fine"))
+                self.assertEqual(len(hands.idle), 1)
+                eventually(lambda: hands.count == 1, "one connection held")
+
+    @apart
+    def test_reused_id(self):
+        """Replies bear ids alone: a second copy of the last reply never answers the next call of its id."""
+        with Live() as live:
+            client = live.client()
+            for i in range(REPEATS):
+                client.send("same", "pay")
+                live.run("same")
+                for n in range(2):
+                    live.need("same", f"q{i}x{n}")
+                    got = live.db.heard.get(timeout=PATIENCE)
+                    self.assertEqual(got[:3], ["Q", "same", f"q{i}x{n}"])
+                    reply = f"{tid('same')} ROWS 4\r\nr{n:03}\r\n"
+                    live.db.say(reply + (reply if n == 0 else ""), got[3])
+                    got = live.engine.heard.get(timeout=PATIENCE)
+                    self.assertEqual(got[:3], ["FEED", "same", f"r{n:03}"])
+                live.done("same")
+                self.assertEqual(client.answer(), (200, "fine"))
+
+
+class EngineLink(unittest.TestCase):
+    @apart
+    def test_link_breaks_after_the_run_is_written(self):
+        """The link breaks with a run's notices on their way; on the new link they are told, twice each under
+        one number: one call, one answer."""
+        with Live() as live:
+            client = live.client()
+            for i in range(REPEATS):
+                client.send(f"b{i}", "pay")
+                live.run(f"b{i}", again=[f"b{i - 1}"])
+                eventually(lambda: live.house.work.attached, "attached")
+                while not live.engine.joined.empty():
+                    live.engine.joined.get()
+                live.engine.drop()
+                got = live.engine.joined.get(timeout=PATIENCE)
+                self.assertEqual(got, str(live.engine.notices))
+                live.engine.notices += 1
+                for _ in range(2):
+                    live.engine.say(f"NEED {live.engine.notices} {tid(f'b{i}')} 3\r\nask\r\n")
+                self.assertEqual(live.db.heard.get(timeout=PATIENCE)[:3], ["Q", f"b{i}", "ask"])
+                live.engine.notices += 1
+                for _ in range(2):
+                    live.engine.say(f"DONE {live.engine.notices} {tid(f'b{i}')} ok 12 4\r\nfine\r\n")
+                self.assertEqual(client.answer(), (200, "fine"))
+                eventually(lambda: not live.desk.reqs, "out of hand")
+                self.assertTrue(live.db.heard.empty())
+            self.assertEqual(live.count("answers.done"), REPEATS)
+
+    @apart
+    def test_address_moves_while_it_attaches(self):
+        """A new address that comes while a link to the old one is made: the link goes to the new one."""
+        with Live() as live:
+            client, real = live.client(), Engine.attach_and_read.__globals__["connected"]
+            for i in range(max(3, REPEATS // 10)):
+                eventually(lambda: live.house.work.attached, "attached")
+                old = live.engine
+
+                def moved(address, patience, old=old):
+                    sock = real(address, patience)
+                    if address == old.address:
+                        other = type(old)()
+                        other.state, other.notices = "warm", old.notices
+                        live.engine = other
+                        live.house.work.move(other.address)
+                    return sock
+
+                with mock.patch.dict(Engine.attach_and_read.__globals__, {"connected": moved}):
+                    old.drop()
+                    eventually(lambda old=old: live.engine is not old, "moved")
+                    self.assertEqual(live.engine.joined.get(timeout=PATIENCE), str(old.notices))
+                live.served(client, f"m{i}")
+                old.down()
+
+    @apart
+    def test_closed_beside_a_writer(self):
+        """The link is closed as another thread writes on it: never before that thread is done with it."""
+        with Live() as live:
+            work, client = live.house.work, live.client()
+            for i in range(REPEATS):
+                eventually(lambda: work.attached, "attached")
+                sock, closed_under = work.sock, []
+
+                class Slow:
+                    """A socket whose writes take a while, and that tells who closes it meanwhile."""
+
+                    def __init__(self, sock, closed_under=closed_under):
+                        self.sock, self.closed_under, self.writing = sock, closed_under, False
+
+                    def send(self, data, flags):
+                        raise BlockingIOError
+
+                    def sendall(self, data):
+                        self.writing = True
+                        self.sock.shutdown(socket.SHUT_RDWR)      # the reading side finds the end now
+                        eventually(lambda: not work.attached, "the reading side at its close")
+                        self.writing = False
+
+                    def close(self):
+                        self.closed_under.append(self.writing)
+                        self.sock.close()
+
+                    def __getattr__(self, name):
+                        return getattr(self.sock, name)
+
+                with work.bell:
+                    work.sock = Slow(sock)
+                client.send(f"w{i}")
+                live.run(f"w{i}", again=[f"w{i - 1}"])
+                live.done(f"w{i}")
+                self.assertEqual(client.answer(), (200, "fine"))
+                self.assertEqual(closed_under, [False])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -412,6 +412,15 @@
         self.assertTrue(req.gate.release.called and desk.server.settle.called)
         self.assertFalse(desk.lock.locked() or desk.reqs)
 
+    def test_beat(self):
+        """An error in the decisions at a wake-up: the next wake-up comes all the same."""
+        scene = Scene()
+        for line in ("handler view timeout=300", "0 read a view", "0 trip fail a"):
+            scene.play(line.split())
+        with self.assertRaises(Tripped):
+            scene.until(TICK * 3)
+        self.assertEqual(scene.due, scene.now + TICK)
+
     def test_pieces(self):
         """An episode is solved in pieces: between them the lock is free and the last policy stands."""
         desk, learner = Desk(facts_of(flat(site())), 1, Book()), Learner(0, 40, 2, 1e5, 1e-6)
--- a/tests/work/test_writing.py
+++ b/tests/work/test_writing.py
@@ -12,7 +12,7 @@
 from gullyoke.core.message import Message
 from gullyoke.options import facts_of, flat
 from gullyoke.port import FAIL
-from gullyoke.work.engine import Engine
+from gullyoke.work.engine import SENT, Engine
 
 
 def req(number):
@@ -20,6 +20,12 @@
                                  message=Message(("", "", ""), {}, bytes([65 + number % 26]) * 2000))
 
 
+def swallow(sock):
+    with contextlib.suppress(OSError):
+        while sock.recv(65536):
+            pass
+
+
 class Writing(unittest.TestCase):
     def linked(self, stack):
         """An engine's link whose other end nobody reads yet, with little room between."""
@@ -49,6 +55,21 @@
                 got += theirs.recv(65536)
             self.assertEqual(got, wanted)
 
+    def test_gauges_that_stay_out(self):
+        """An engine that answers no gauges: what was sent for reqs that are over does not pile up."""
+        with contextlib.ExitStack() as stack:
+            engine, theirs = self.linked(stack)
+            engine.heard = types.SimpleNamespace(desk=types.SimpleNamespace(reqs={}))
+            threading.Thread(target=swallow, args=(theirs,), daemon=True).start()
+            kept = req(0)
+            engine.heard.desk.reqs[kept.tid] = kept
+            engine.run(kept)
+            for i in range(2000):
+                engine.run(req(i))
+                engine.stat(i)
+            self.assertLessEqual(len(engine.sent), 2 * SENT)
+            self.assertEqual(sum(s.req is kept for s in engine.sent), 1)
+
     def test_rest_is_void_on_a_new_link(self):
         """What a broken link did not take of a command is not written to the next one: it would be garbled,
         and the command is given again whole."""
