A repeat read too late for the next wake-up is answered at once

Excluded: runs that go on (none of them was started), the table of keys. To blame: choice.py reuse() waited for the one that it repeats whatever time was left; wake-ups come every 100 ms and the slack is 60. The check that first tries meet (due within a wake-up: refused) came after the repeats' way out. It can't come back: a repeat is answered by the wake-up before its time, and one with less time than that at its reading. Covers also: reads late after a pause, a drain, a full backlog, on any deployment with keyed classes or shared reads.

--- a/gullyoke/choice.py
+++ b/gullyoke/choice.py
@@ -609,7 +609,8 @@
 
     def reuse(self, req):
         """A repeat is answered from the one it repeats; it is never run beside it and never turned away."""
-        if not self.guards.fits(req.kb):                     # rule 4, and it may have run: no promise
+        # Rule 1: too late for the next wake-up. Rule 4: memory. It may have run: no promise.
+        if req.due <= self.now + TICK or not self.guards.fits(req.kb):
             yield to.FAIL
             return
         self.move(req, HELD, quiet=True)
