Review: the drain's case counts the orders that are begun too late and lost

The rule's break alone does not show what it costs a caller. Half of the late requests are now of the class that must never run twice, and the verdict counts those that are begun and not served.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,7 +35,7 @@
     while time.monotonic() < notice + LAST_S:
         request_id = standins.new_id()
         sent[request_id] = time.monotonic() - notice
-        name = random.choice(SITE)[0]
+        name = SITE[len(sent) % 2][0]
         tries.append(asyncio.create_task(standins.call(record, server.listen, request_id, name)))
         await asyncio.sleep(0.05)
     return sent, tries
@@ -58,6 +58,11 @@
     return sent, dict(zip(sent, await asyncio.gather(*tries), strict=True))
 
 
+def lost_orders(engine, late, answers):
+    """Return how many runs of the class that must never run again got no answer 'served'."""
+    return sum(engine.runs[each].name == "pay-order" and answers[each][0] != 200 for each in late)
+
+
 async def play(record, trouble):
     """Drain a server, and return the exit status."""
     up = asyncio.Event()
@@ -84,7 +89,8 @@
     refused = sum(status in (-1, 429, 503) for status, _ in answers.values())
     record.add(
         f"verdict: {len(sent)} sent {FIRST_S} s after the notice or later, {refused} refused,"
-        f" {len(late)} run"
+        f" {len(late)} run; of the {sum(engine.runs[each].name == 'pay-order' for each in late)}"
+        f" that must never run again {lost_orders(engine, late, answers)} were begun and are lost"
     )
     return 1 if late else 0
 
