--- a/review/standins.py
+++ b/review/standins.py
@@ -176,6 +176,19 @@
                     self._command(words, body)
         writer.close()
 
+    def answered(self, request_id):
+        """End a request, as its gateway has an answer; a run that waits for a call is halted."""
+        self.over.add(request_id)
+        run = self.runs.get(request_id)
+        if run is not None and run.waits_for is not None and not run.reply.done():
+            run.task.cancel()
+            self._halted(run)
+
+    def _halted(self, run):
+        run.waits_for = None
+        self.record.add("engine", "DONE", run.request_id, "halted")
+        self._tell(f"DONE %d {run.request_id} halted 1 0\r\n\r\n")
+
     def end(self):
         """End all runs, as the engine is killed together with its server."""
         for run in self.runs.values():
@@ -228,7 +241,7 @@
                 self.record.add("engine", "RUN", request_id, words[2], again)
                 run = self.runs[request_id] = Run(request_id, words[2])
                 run.task = asyncio.create_task(self._run(run, body))
-        elif name == "FEED" and run is not None and run.waits_for is not None:
+        elif name == "FEED" and run is not None and run.waits_for and not run.reply.done():
             self.record.add("engine", "FEED", request_id, body.decode(), "for call", run.waits_for)
             run.fed.append((run.waits_for, body.decode()))
             run.reply.set_result(None)
@@ -242,6 +255,9 @@
             await asyncio.sleep(seconds)
             if number == len(lengths):
                 break
+            if run.request_id in self.over:
+                self._halted(run)
+                return
             run.waits_for = number
             run.reply = asyncio.get_running_loop().create_future()
             call = f"call {number} of {run.request_id}"
@@ -457,7 +473,7 @@
     async def one():
         request_id = new_id()
         answers[request_id] = await call(record, server.listen, request_id, random.choice(names))
-        engine.over.add(request_id)
+        engine.answered(request_id)
 
     tries = []
     while loop.time() < until:
