--- a/review/standins.py
+++ b/review/standins.py
@@ -277,11 +277,20 @@
 
 
 class Database:
-    """The database: answers each call with ROWS that name the call."""
+    """The database: answers each call with ROWS that name the call.
 
-    def __init__(self, record, seconds):
+    Args:
+        record: Where it writes what it does.
+        seconds: Returns the seconds until the answer to a call.
+        copies: The share of the replies that come a second time on their connection.
+        delay: The longest time, in seconds, from a reply to its second copy.
+    """
+
+    def __init__(self, record, seconds, copies=0.0, delay=0.0):
         self.record = record
         self.seconds = seconds
+        self.copies = copies
+        self.delay = delay
 
     async def start(self):
         """Listen on a free port."""
@@ -302,8 +311,13 @@
         await asyncio.sleep(self.seconds())
         rows = reply_to(call)
         self.record.add("database", "ROWS", request_id, rows)
+        reply = f"{request_id} ROWS {len(rows)}\r\n{rows}\r\n".encode()
         with contextlib.suppress(ConnectionError):
-            writer.write(f"{request_id} ROWS {len(rows)}\r\n{rows}\r\n".encode())
+            writer.write(reply)
+            if random.random() < self.copies:
+                await asyncio.sleep(random.uniform(0, self.delay))
+                self.record.add("database", "second copy", request_id, rows)
+                writer.write(reply)
 
 
 def reply_to(call):
