The log tells of a new link to the engine and of the replies that may have been lost

Change: "link to the engine attached" with the notice's number, the commands that are sent again and the replies to calls that the last link may have lost; the counter engine_unconfirmed_replies. Behaviour is unchanged.

--- a/gullyoke/executors/engine_link.py
+++ b/gullyoke/executors/engine_link.py
@@ -88,7 +88,8 @@
 
     def send_call_reply(self, request: PendingRequest, reply: bytes) -> None:
         """Send the dependency's reply to the run that waits for it."""
-        self._queue(request, engine_protocol.call_reply(request.request_id, reply))
+        data = engine_protocol.call_reply(request.request_id, reply)
+        self.writer.append(SentCommand(data, request, request.notices_read, is_call_reply=True))
 
     def skip_call(self, request: PendingRequest) -> None:
         """Let the run continue without the call that it waits for."""
@@ -193,7 +194,15 @@
     def _on_gauges(self, notice: GaugesNotice) -> None:
         if notice.tag == self._attach_tag:
             self._attach_tag = ""
-            self.writer.attach()
+            unconfirmed = self.writer.attach()
+            log.info(
+                "link to the engine attached",
+                extra=log_fields(
+                    notice=self._last_notice,
+                    resent=unconfirmed.resent,
+                    unconfirmed_replies=unconfirmed.call_replies,
+                ),
+            )
             return
         self.writer.confirm(notice.tag)
         values = map(engine_protocol.parse_gauge, notice.values)
--- a/gullyoke/executors/engine_writer.py
+++ b/gullyoke/executors/engine_writer.py
@@ -24,12 +24,26 @@
         request: The request that the command concerns; None for a poll of the gauges.
         notices_read: How many notices on that request had been read when the command was queued.
         tag: Tag of a poll of the gauges.
+        is_call_reply: Whether the command is the reply to a dependency call.
     """
 
     data: bytes
     request: PendingRequest | None = None
     notices_read: int = 0
     tag: int = NO_TAG
+    is_call_reply: bool = False
+
+
+class UnconfirmedCommands(NamedTuple):
+    """Commands of requests in flight that the last link may have lost.
+
+    Args:
+        resent: How many are sent again.
+        call_replies: How many are replies to dependency calls.
+    """
+
+    resent: int
+    call_replies: int
 
 
 class EngineWriter:
@@ -154,7 +168,7 @@
                 while str(self.unconfirmed.popleft().tag) != tag:
                     pass
 
-    def attach(self) -> None:
+    def attach(self) -> UnconfirmedCommands:
         """Allow writing on the new link, and queue again what the last link may have lost.
 
         These are the unconfirmed commands of requests in flight. A command is left out if a later
@@ -169,8 +183,11 @@
             self.attached = True
             self.unwritten = b""  # the rest of a partly written command; it is sent again whole
             self.condition.notify_all()
+        call_replies = sum(command.is_call_reply for command in resent)
         if resent:
             self._metrics.increment("engine.resent_commands", len(resent))
+            self._metrics.increment("engine.unconfirmed_replies", call_replies)
+        return UnconfirmedCommands(len(resent), call_replies)
 
     def _may_be_lost(self, command: SentCommand) -> bool:
         request = command.request
