Commands that no link has completely accepted stay queued for the next one

Need: to decide what to send again on a new link, the writer has to know what the engine can't have read. Commands were taken for sent as soon as they were handed to the socket, whether it accepted them, a part of them, or nothing because the link was broken.

Change: a command leaves the outbox with its last byte. The rest of one that was partly written is the offset `bytes_written` into the first queued command; a new link begins with the whole command. After an error of the socket nothing further is written on that link.

Tests: test_command_that_no_link_accepted_is_sent_once fails on the code before (the command is among the unconfirmed ones), passes now. test_partial_command_is_dropped_on_a_new_link set a field that is gone; it now sets the offset, and compares the whole command on the new link, not its first five bytes.

--- a/gullyoke/executors/engine_writer.py
+++ b/gullyoke/executors/engine_writer.py
@@ -49,16 +49,16 @@
 class EngineWriter:
     """Writes commands in order, without blocking the thread that flushes them.
 
-    Bytes that the link does not accept at once are left to the writing thread. `condition` guards
-    all attributes.
+    What the link does not accept at once is left to the writing thread. `condition` guards all
+    attributes.
 
     Attributes:
-        outbox: Commands that are not written yet.
+        outbox: Commands that are not completely written, so that the engine can't have read them.
+        bytes_written: How many bytes of the first command in `outbox` this link has accepted.
         unconfirmed: Commands written since the last poll of the gauges that was answered; the
             answer proves that the engine read the commands written before that poll. Each request
             in flight has a few unconfirmed commands; if the engine answers no polls for long,
             commands of finished requests are dropped.
-        unwritten: Bytes that the link did not accept at once.
         sock: Socket of the link; None while there is no link.
         attached: Whether commands may be written, because all missed notices have been read.
     """
@@ -68,8 +68,8 @@
         self.listener: ExecutorListener
         self.condition = threading.Condition(threading.Lock())
         self.outbox: deque[SentCommand] = deque()
+        self.bytes_written = 0
         self.unconfirmed: deque[SentCommand] = deque()
-        self.unwritten = b""
         self.sock: socket.socket | None = None
         self.attached = False
         self._writing = False  # whether the writing thread is writing
@@ -96,37 +96,37 @@
         Writing on the calling thread saves a thread switch for each command.
         """
         with self.condition:
-            if not self.outbox or not self.attached or self.unwritten or self._writing:
+            if not self.outbox or not self.attached or self.bytes_written or self._writing:
                 return  # the writing thread writes them, now or once the link is attached
             assert self.sock is not None
-            batch = self._take_batch()
-            data = b"".join(command.data for command in batch)
+            data = self._unwritten_data()
             try:
                 written = self.sock.send(data, socket.MSG_DONTWAIT)
             except BlockingIOError:
                 written = 0
             except OSError:
+                self.attached = False  # the link accepts nothing; the commands wait for the next
                 shutdown_both(self.sock)  # the reading thread reports how the link ended
                 return
-            if written < len(data):
-                self.unwritten = data[written:]
+            completed = self._mark_written(written)
+            if self.outbox:
                 self.condition.notify_all()
-        self._metrics.increment("engine.commands", len(batch))
+        self._metrics.increment("engine.commands", completed)
 
     def write_pending(self) -> None:
         """Wait for queued commands and an attached link, then write all of them."""
         with self.condition:
-            while not (self.attached and (self.outbox or self.unwritten)):
+            while not (self.attached and self.outbox):
                 self.condition.wait()
             assert self.sock is not None
-            batch = self._take_batch()
             sock = self.sock
-            unwritten = self.unwritten
-            self.unwritten = b""
+            data = self._unwritten_data()
+            # From now on the engine may read any of them.
+            completed = self._mark_written(len(data))
             self._writing = True
         try:
-            sock.sendall(unwritten + b"".join(command.data for command in batch))
-            self._metrics.increment("engine.commands", len(batch))
+            sock.sendall(data)
+            self._metrics.increment("engine.commands", completed)
         except OSError:
             shutdown_both(sock)  # the reading thread reports how the link ended
         finally:
@@ -134,17 +134,26 @@
                 self._writing = False
                 self.condition.notify_all()
 
-    def _take_batch(self) -> list[SentCommand]:
-        """Move all queued commands to the unconfirmed ones and return them.
+    def _unwritten_data(self) -> bytes:
+        """Return the queued commands, without what this link has accepted of the first one."""
+        return b"".join(command.data for command in self.outbox)[self.bytes_written :]
 
-        From then on any part of them may have reached the engine.
+    def _mark_written(self, byte_count: int) -> int:
+        """Count bytes as written, move the commands that are complete to the unconfirmed ones.
+
+        Returns:
+            The number of these commands.
         """
-        batch = list(self.outbox)
-        self.outbox.clear()
-        self.unconfirmed.extend(batch)
+        self.bytes_written += byte_count
+        completed = 0
+        while self.outbox and self.bytes_written >= len(self.outbox[0].data):
+            command = self.outbox.popleft()
+            self.bytes_written -= len(command.data)
+            self.unconfirmed.append(command)
+            completed += 1
         if len(self.unconfirmed) > self._prune_above:
             self._prune_unconfirmed()
-        return batch
+        return completed
 
     def _prune_unconfirmed(self) -> None:
         """Drop commands of requests that are over, and all polls except the last."""
@@ -181,7 +190,7 @@
             self.unconfirmed.clear()
             self.outbox.extendleft(reversed(resent))
             self.attached = True
-            self.unwritten = b""  # the rest of a partly written command; it is sent again whole
+            self.bytes_written = 0  # a command that was partly written is sent again whole
             self.condition.notify_all()
         call_replies = sum(command.is_call_reply for command in resent)
         if resent:
--- a/tests/executors/test_writing.py
+++ b/tests/executors/test_writing.py
@@ -9,6 +9,7 @@
 from standins import site
 
 from gullyoke.admission.interface import FAIL
+from gullyoke.executors import engine_protocol
 from gullyoke.executors.engine_link import EngineLink
 from gullyoke.executors.engine_writer import MAX_UNCONFIRMED
 from gullyoke.runtime.dispatcher import Dispatcher
@@ -67,11 +68,7 @@
                 wanted += (
                     f"RUN {i:016x} view 2000\r\n".encode() + bytes([65 + i % 26]) * 2000 + b"\r\n"
                 )
-            theirs.settimeout(10)
-            got = b""
-            while len(got) < len(wanted):
-                got += theirs.recv(65536)
-            self.assertEqual(got, wanted)
+            self.assertEqual(self.read(theirs, len(wanted)), wanted)
 
     def test_unanswered_polls(self):
         """An engine that never answers polls of the gauges.
@@ -101,18 +98,43 @@
         """
         with contextlib.ExitStack() as stack:
             engine, theirs = self.open_link(stack)
-            in_flight = set()
-            engine.writer.listener = types.SimpleNamespace(
-                is_in_flight=lambda one: one.request_id in in_flight
-            )
-            engine.writer.unwritten = b"half a command\r\n"
             engine.writer.attached = False
             one = request(1)
-            in_flight.add(one.request_id)
             engine.start_run(one)
+            engine.writer.bytes_written = len("RUN 0000")  # accepted by the link that broke
+            engine.writer.attach()
+            wanted = engine_protocol.run(one.request_id, "view", one.message.body)
+            self.assertEqual(self.read(theirs, len(wanted)), wanted)
+
+    def test_command_that_no_link_accepted_is_sent_once(self):
+        """A command is queued while the link is broken, before the reading thread has noticed.
+
+        No byte of it left the server, so the next link carries it, and only once.
+        """
+        with contextlib.ExitStack() as stack:
+            engine, theirs = self.open_link(stack)
+            theirs.close()
+            one = request(1)
+            engine.send_call_reply(one, b"rows")
+            engine.flush()
+            engine.writer.close()
+            self.assertEqual(list(engine.writer.unconfirmed), [])
+            ours, theirs = socket.socketpair()
+            stack.enter_context(theirs)
+            engine.writer.sock = stack.enter_context(ours)
             engine.writer.attach()
-            theirs.settimeout(10)
-            self.assertEqual(theirs.recv(5), b"RUN 0")
+            wanted = engine_protocol.call_reply(one.request_id, b"rows")
+            self.assertEqual(self.read(theirs, len(wanted)), wanted)
+            engine.writer.close()
+            self.assertEqual(theirs.recv(1), b"")
+
+    def read(self, sock, size):
+        """Return the next `size` bytes of a socket."""
+        sock.settimeout(10)
+        got = b""
+        while len(got) < size:
+            got += sock.recv(size - len(got))
+        return got
 
     def test_answer_gate_opens_after_the_lock(self):
         """The thread that writes an answer is woken after the dispatcher's lock is released.
