A notice on a run counts when it is read, not when a disk write lets it be reported

Callers could see a keyed request take effect twice, at an engine that keeps nothing of ended runs.

Cause: a command is not sent again on a new link if a later notice shows that it was read. Notices were counted in EventRelay.finish_run. With a store for keys, DurableExecutor reports the end of a run only once its record is durable; a link that broke in between sent RUN again after its DONE.

Change: the reading thread counts the notice first (ExecutorListener.on_notice_read), for the end of a run and for a needed call alike. It is the only thread that counts, so it needs no lock.

Evidence: test_run_whose_end_is_not_reported_yet fails on the code before (one command is sent again, 0 expected) and passes now.

--- a/gullyoke/daemon/event_relay.py
+++ b/gullyoke/daemon/event_relay.py
@@ -52,6 +52,12 @@
             self._dispatcher.create_controller(self._router, clock.now() - uptime_ms * US_PER_MS)
             log.info("serving", extra=log_fields(engine=state.value, up_ms=uptime_ms))
 
+    def on_notice_read(self, request_id: str) -> None:
+        """Count a notice that the engine has sent on a run; called by one thread only."""
+        request = self._dispatcher.requests.get(request_id)
+        if request is not None:
+            request.notices_read += 1
+
     def on_run_ended(self, request_id: str, outcome: RunOutcome, result: bytes) -> None:
         """Report the end of a run at the engine."""
         self._metrics.increment(f"runs.{outcome.value}")
@@ -76,7 +82,6 @@
     ) -> None:
         """Answer the request and its duplicates and report the event; called under the lock."""
         dispatcher = self._dispatcher
-        request.notices_read += 1
         if event is RequestEvent.COMPLETED:
             dispatcher.answer(request, event, answer)
         elif event is RequestEvent.FAILED:
@@ -103,7 +108,6 @@
         self._metrics.increment("runs.call_needed")
 
         def act(request: PendingRequest) -> None:
-            request.notices_read += 1
             request.call_notice = notice
             request.call_body = body
             self._report(request, RequestEvent.DEPENDENCY_CALL_NEEDED)
--- a/gullyoke/executors/__init__.py
+++ b/gullyoke/executors/__init__.py
@@ -45,6 +45,9 @@
     def on_engine_hello(self, state: EngineState, uptime_ms: int) -> None:
         """Handle a new link to the engine, which has been up for `uptime_ms`."""
 
+    def on_notice_read(self, request_id: str) -> None:
+        """Count a notice on a run, before it is reported, which may take until a disk write."""
+
     def on_run_ended(self, request_id: str, outcome: RunOutcome, result: bytes) -> None:
         """Handle the end of a run at the engine."""
 
--- a/gullyoke/executors/engine_link.py
+++ b/gullyoke/executors/engine_link.py
@@ -162,9 +162,11 @@
         match notice:
             case RunEndedNotice():
                 if self._mark_read(notice.number):
+                    self._listener.on_notice_read(notice.request_id)
                     self._listener.on_run_ended(notice.request_id, notice.outcome, notice.result)
             case CallNeededNotice():
                 if self._mark_read(notice.number):
+                    self._listener.on_notice_read(notice.request_id)
                     self._listener.on_call_needed(notice.request_id, notice.number, notice.body)
             case GaugesNotice():
                 self._on_gauges(notice)
--- a/gullyoke/extensions/durable_executor.py
+++ b/gullyoke/extensions/durable_executor.py
@@ -119,6 +119,7 @@
     def start(self, listener: ExecutorListener) -> None:
         """Start the inner executor, with this one as its listener."""
         self.listener = listener
+        self.on_notice_read = listener.on_notice_read
         self.on_call_needed = listener.on_call_needed
         self.on_engine_hello = listener.on_engine_hello
         self.on_gauges = listener.on_gauges
--- a/tests/executors/test_writing.py
+++ b/tests/executors/test_writing.py
@@ -9,8 +9,9 @@
 from standins import site
 
 from gullyoke.admission.interface import FAIL
-from gullyoke.executors import engine_protocol
+from gullyoke.executors import RunOutcome, engine_protocol
 from gullyoke.executors.engine_link import EngineLink
+from gullyoke.executors.engine_protocol import RunEndedNotice
 from gullyoke.executors.engine_writer import MAX_UNCONFIRMED
 from gullyoke.runtime.dispatcher import Dispatcher
 from gullyoke.runtime.messages import Message
@@ -29,6 +30,23 @@
     )
 
 
+class Listener:
+    """Counts the notices on these requests, and notes the ends of runs without reporting them."""
+
+    def __init__(self, *requests):
+        self.requests = {each.request_id: each for each in requests}
+        self.ended = []
+
+    def is_in_flight(self, request):
+        return self.requests.get(request.request_id) is request
+
+    def on_notice_read(self, request_id):
+        self.requests[request_id].notices_read += 1
+
+    def on_run_ended(self, request_id, outcome, result):
+        self.ended.append(request_id)
+
+
 def read_to_end(sock):
     with contextlib.suppress(OSError):
         while sock.recv(65536):
@@ -128,6 +146,22 @@
             engine.writer.close()
             self.assertEqual(theirs.recv(1), b"")
 
+    def test_run_whose_end_is_not_reported_yet(self):
+        """The link breaks after the end of a run was read, while a disk write delays its report.
+
+        The run must not be sent again: it would take effect a second time.
+        """
+        with contextlib.ExitStack() as stack:
+            engine, _ = self.open_link(stack)
+            one = request(1)
+            listener = engine._listener = engine.writer.listener = Listener(one)
+            engine.start_run(one)
+            engine.flush()
+            engine._on_notice(RunEndedNotice(1, one.request_id, RunOutcome.COMPLETED, b"fine"))
+            self.assertEqual(listener.ended, [one.request_id])
+            self.assertEqual(engine.writer.attach().resent, 0)
+            self.assertEqual(list(engine.writer.outbox), [])
+
     def read(self, sock, size):
         """Return the next `size` bytes of a socket."""
         sock.settimeout(10)
