A reply to a call that a broken link may have lost is not sent again

Cause: FEED names no call. EngineWriter.attach sent an unconfirmed one again; if the engine had read the first one, the run could wait for its next call by then and took the reply for that. In the trace FEED for call 3 is read at 2,840.8 ms, the link breaks at 2,854.5, the same FEED is read for call 4 at 2,888.1. A reload that moves the engine makes a new link in the same way.

Change: such a reply is not sent again. The decisions are told (CALL_REPLY_UNCONFIRMED): where the class may go without the call, SKIP follows, which names its call and does nothing if the reply had come; elsewhere the run's next notice is awaited, at the latest until the deadline. This can't feed a wrong call, since no reply reaches the engine twice. A reply that no link has completely accepted is still queued and sent whole.

--- a/gullyoke/admission/interface/events.py
+++ b/gullyoke/admission/interface/events.py
@@ -30,6 +30,8 @@
     """The run waits for a call to the dependency."""
     CALL_SUCCEEDED = auto()
     """The call succeeded, and the run resumes without a command."""
+    CALL_REPLY_UNCONFIRMED = auto()
+    """The reply of a successful call was sent to the run, but may not have reached it."""
     CALL_NOT_SENT = auto()
     """The call failed and certainly did not reach the dependency."""
     CALL_OUTCOME_UNKNOWN = auto()
--- a/gullyoke/admission/request_path.py
+++ b/gullyoke/admission/request_path.py
@@ -119,6 +119,8 @@
         while event not in RUN_ENDS:
             if event is RequestEvent.CALL_SUCCEEDED:
                 event = yield AWAIT
+            elif event is RequestEvent.CALL_REPLY_UNCONFIRMED:
+                event = yield from self._continue_without_reply(request)
             elif event in CALL_NEEDS:
                 event = yield from self._call_dependency(request, event)
             else:
@@ -174,6 +176,17 @@
         state.move(request, RUNNING)
         return (yield SKIP_DEPENDENCY_CALL)
 
+    def _continue_without_reply(self, request: Request) -> SubPath:
+        """Skip the call of a run that may have missed its reply, or wait for the run's next event.
+
+        The skip names its call, so a run that has got the reply ignores it. The reply names none:
+        sent again, it could answer the run's next call.
+        """
+        needs_answer = not request.answered and not request.client_disconnected
+        if needs_answer and request.request_class.degraded_value_share > 0:
+            return (yield SKIP_DEPENDENCY_CALL)
+        return (yield AWAIT)
+
     def _make_call(self, request: Request, is_idempotent: bool) -> SubPath:
         """Make the call.
 
--- a/gullyoke/daemon/event_relay.py
+++ b/gullyoke/daemon/event_relay.py
@@ -114,6 +114,10 @@
 
         self._handle(request_id, act)
 
+    def on_call_reply_unconfirmed(self, request: PendingRequest) -> None:
+        """Report that the reply to a call may not have reached the run."""
+        self._dispatcher.notify(request, RequestEvent.CALL_REPLY_UNCONFIRMED)
+
     def on_command_refused(self, command: str, request_id: str) -> None:
         """Log a command that the engine did not carry out; report a refused RUN as not started."""
         self._metrics.increment("engine.rejected_commands")
--- a/gullyoke/executors/__init__.py
+++ b/gullyoke/executors/__init__.py
@@ -59,6 +59,9 @@
     def on_call_needed(self, request_id: str, notice: int, body: bytes) -> None:
         """Handle a run that needs a call to the dependency; `notice` is the notice's number."""
 
+    def on_call_reply_unconfirmed(self, request: PendingRequest) -> None:
+        """Handle a reply to a call that may not have reached the run."""
+
     def on_command_refused(self, command: str, request_id: str) -> None:
         """Handle a command that the engine refused."""
 
--- a/gullyoke/executors/engine_link.py
+++ b/gullyoke/executors/engine_link.py
@@ -202,9 +202,11 @@
                 extra=log_fields(
                     notice=self._last_notice,
                     resent=unconfirmed.resent,
-                    unconfirmed_replies=unconfirmed.call_replies,
+                    unconfirmed_replies=len(unconfirmed.call_replies),
                 ),
             )
+            for request in unconfirmed.call_replies:
+                self._listener.on_call_reply_unconfirmed(request)
             return
         self.writer.confirm(notice.tag)
         values = map(engine_protocol.parse_gauge, notice.values)
--- a/gullyoke/executors/engine_writer.py
+++ b/gullyoke/executors/engine_writer.py
@@ -39,11 +39,11 @@
 
     Args:
         resent: How many are sent again.
-        call_replies: How many are replies to dependency calls.
+        call_replies: The requests whose replies to dependency calls are not sent again.
     """
 
     resent: int
-    call_replies: int
+    call_replies: list[PendingRequest]
 
 
 class EngineWriter:
@@ -181,21 +181,27 @@
         """Allow writing on the new link, and queue again what the last link may have lost.
 
         These are the unconfirmed commands of requests in flight. A command is left out if a later
-        notice on its request shows that the engine has read it. Repeating is safe: `RUN` may be
-        repeated, and `SKIP` names its notice. A `FEED` may arrive twice if its run has sent no
-        notice since the first; that run then waits for no call.
+        notice on its request shows that the engine has read it. Repeating is safe for all but one:
+        `RUN` and `HALT` do nothing the second time, and `SKIP` names its notice. `FEED` names no
+        call. If the engine has read the first one, the run may wait for its next call when the
+        second one arrives, and would take the reply for that to the next call.
         """
         with self.condition:
-            resent = [command for command in self.unconfirmed if self._may_be_lost(command)]
+            uncertain = [command for command in self.unconfirmed if self._may_be_lost(command)]
             self.unconfirmed.clear()
+            resent = [command for command in uncertain if not command.is_call_reply]
             self.outbox.extendleft(reversed(resent))
             self.attached = True
             self.bytes_written = 0  # a command that was partly written is sent again whole
             self.condition.notify_all()
-        call_replies = sum(command.is_call_reply for command in resent)
-        if resent:
+        call_replies = [
+            command.request
+            for command in uncertain
+            if command.is_call_reply and command.request is not None
+        ]
+        if uncertain:
             self._metrics.increment("engine.resent_commands", len(resent))
-            self._metrics.increment("engine.unconfirmed_replies", call_replies)
+            self._metrics.increment("engine.unconfirmed_replies", len(call_replies))
         return UnconfirmedCommands(len(resent), call_replies)
 
     def _may_be_lost(self, command: SentCommand) -> bool:
--- a/gullyoke/extensions/durable_executor.py
+++ b/gullyoke/extensions/durable_executor.py
@@ -121,6 +121,7 @@
         self.listener = listener
         self.on_notice_read = listener.on_notice_read
         self.on_call_needed = listener.on_call_needed
+        self.on_call_reply_unconfirmed = listener.on_call_reply_unconfirmed
         self.on_engine_hello = listener.on_engine_hello
         self.on_gauges = listener.on_gauges
         self.is_in_flight = listener.is_in_flight
--- a/tests/executors/test_writing.py
+++ b/tests/executors/test_writing.py
@@ -162,6 +162,25 @@
             self.assertEqual(engine.writer.attach().resent, 0)
             self.assertEqual(list(engine.writer.outbox), [])
 
+    def test_call_reply_that_may_be_lost_is_not_sent_again(self):
+        """The link breaks after the reply to a call was written.
+
+        The engine may have read it, and the run may wait for its next call: sent again, the reply
+        would be taken for that to the next call. The run's other commands are sent again.
+        """
+        with contextlib.ExitStack() as stack:
+            engine, _ = self.open_link(stack)
+            one, other = request(1), request(2)
+            engine.writer.listener = Listener(one, other)
+            engine.send_call_reply(one, b"rows")
+            engine.start_run(other)
+            engine.flush()
+            engine.writer.attached = False
+            unconfirmed = engine.writer.attach()
+            self.assertEqual(unconfirmed.call_replies, [one])
+            self.assertEqual(unconfirmed.resent, 1)
+            self.assertEqual([each.request for each in engine.writer.outbox], [other])
+
     def read(self, sock, size):
         """Return the next `size` bytes of a socket."""
         sock.settimeout(10)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -209,17 +209,23 @@
 
 
 class Engine(StandIn):
-    """An engine that answers STAT by itself, and ATTACH once `state` is set."""
+    """An engine that answers STAT by itself, and ATTACH once `state` is set.
+
+    While `silent`, it answers no STAT, so that nothing shows which commands it has read.
+    """
 
     def __init__(self):
+        self.silent = False
         self.state, self.notices, self.beats, self.needs = None, 0, threading.Semaphore(0), {}
         super().__init__()
 
     def message(self, link, file, words):
         if words[0] == "STAT":
-            self.say(f"STATS {words[1]} 0.5 1 0.1 3\r\n", link)
-            self.beats.release()
+            if not self.silent:
+                self.say(f"STATS {words[1]} 0.5 1 0.1 3\r\n", link)
+                self.beats.release()
         elif words[0] == "ATTACH":
+            self.silent = False
             self.joined.put(words[1])
             if self.state:
                 self.say(f"HELLO {self.state} 5000\r\n", link)
@@ -497,6 +503,8 @@
         elif verb == "attached":
             got = engine.joined.get(timeout=PATIENCE)
             assert got == rest[0], f"attached at {got}"
+        elif verb == "silent":
+            engine.silent = True
         elif verb == "none":
             engine.beat()
             assert engine.heard.empty(), f"heard {engine.heard.get()[:3]}"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -83,6 +83,7 @@
     "call-unrun": RequestEvent.CALL_NOT_SENT,
     "call-lost": RequestEvent.CALL_OUTCOME_UNKNOWN,
     "call-spoilt": RequestEvent.CALL_REPLY_LOST,
+    "call-unconfirmed": RequestEvent.CALL_REPLY_UNCONFIRMED,
 }
 COMMANDS = {
     Enqueue: "hold",
