The drain's grace counts from the notice also where the engine comes up later

Cause: Dispatcher.begin_drain kept only the time of the stop while there was no controller, and create_controller began the drain with the time at which the engine came up.

Change: the main thread takes one time as it handles SIGTERM; grace and stop count from it, whenever the controller comes and however long the dispatcher's lock is waited for. A controller that is created in the drain is published after its drain has begun. Not ready is said from the notice on, so the service registry learns of the drain before the engine is up as well.

--- a/gullyoke/admission/controller.py
+++ b/gullyoke/admission/controller.py
@@ -100,11 +100,15 @@
         if request in state.open_requests:
             state.resume(request, event)
 
-    def begin_drain(self, now: int, stop_at: int) -> None:
-        """Start the drain; the server stops at `stop_at`."""
-        state = self.state
-        state.now = now
-        self.safety.drain_started_at = now
+    def begin_drain(self, notified_at: int, stop_at: int) -> None:
+        """Start the drain.
+
+        Args:
+            notified_at: When the server was told to drain, from which the grace counts; earlier
+                than the last call if this controller was created after that.
+            stop_at: When the server stops.
+        """
+        self.safety.drain_notified_at = notified_at
         self.safety.stop_at = stop_at
         self.executor.set_health(False, True)
 
@@ -147,7 +151,7 @@
             rejected_share=state.feedback.rejected_share,
             run_time_ratio=self.queue.run_time_ratio(),
             warming_up=self.safety.speed(now) < 1,
-            draining=self.safety.drain_started_at is not None,
+            draining=self.safety.drain_notified_at is not None,
         )
 
     # Steps of the calls above.
--- a/gullyoke/admission/safety_limits.py
+++ b/gullyoke/admission/safety_limits.py
@@ -29,7 +29,7 @@
         self.limits = limits
         self.started_at = now
         self.memory_kb = 0.0  # in use, without remembered keys
-        self.drain_started_at: int | None = None
+        self.drain_notified_at: int | None = None
         self.stop_at: int | None = None
         self.key_expiries: dict[Request, int] = {}
 
@@ -68,8 +68,8 @@
         stop.
         """
         in_grace = (
-            self.drain_started_at is None
-            or request.arrived <= self.drain_started_at + self.limits.drain_grace
+            self.drain_notified_at is None
+            or request.arrived <= self.drain_notified_at + self.limits.drain_grace
         )
         return in_grace and not self.is_stopping(now)
 
--- a/gullyoke/daemon/command_router.py
+++ b/gullyoke/daemon/command_router.py
@@ -110,8 +110,11 @@
         self.gauge_poller.schedule(delay)
 
     def set_health(self, ready: bool, cheap: bool) -> None:
-        """Set whether health checks are answered with success."""
-        self._lifecycle.ready = ready
+        """Set whether health checks are answered with success; never in a drain.
+
+        The controller may be created in a drain, and says that it is ready before it is told.
+        """
+        self._lifecycle.ready = ready and self._dispatcher.stop_at is None
 
     def set_load_signal(self, level: float) -> None:
         """Set the load signal that is sent with every answer."""
--- a/gullyoke/daemon/composition.py
+++ b/gullyoke/daemon/composition.py
@@ -75,6 +75,7 @@
         metrics=metrics,
         timer=parts.timer,
         dispatcher=dispatcher,
+        lifecycle=parts.lifecycle,
         executor=executor,
         database=database,
         event_relay=EventRelay(dispatcher, command_router, executor, metrics),
--- a/gullyoke/daemon/daemon.py
+++ b/gullyoke/daemon/daemon.py
@@ -26,6 +26,7 @@
 from gullyoke.frontends.connections import ConnectionTable
 from gullyoke.runtime import clock, signals
 from gullyoke.runtime.dispatcher import Dispatcher
+from gullyoke.runtime.lifecycle import Lifecycle
 from gullyoke.runtime.logs import log, log_fields
 from gullyoke.runtime.metrics import Metrics
 from gullyoke.runtime.timer import Timer
@@ -49,6 +50,7 @@
         metrics: all counters.
         timer: the thread that runs scheduled callbacks.
         dispatcher: the admission controller, its lock and the requests in flight.
+        lifecycle: whether the server is ready, as health checks and the service registry show it.
         executor: runs the requests.
         database: makes the dependency calls.
         event_relay: receives the reports of `executor` and `database`.
@@ -64,6 +66,7 @@
     metrics: Metrics
     timer: Timer
     dispatcher: Dispatcher
+    lifecycle: Lifecycle
     executor: Executor
     database: DependencyClient
     event_relay: EventRelay
@@ -140,6 +143,8 @@
         Returns:
             The exit code of the process.
         """
+        notified_at_us = clock.now()
+        stop_at_us = notified_at_us + self.configuration.stop_after_us
         log.info(
             "draining",
             extra=log_fields(
@@ -147,8 +152,8 @@
                 in_flight=len(self.dispatcher.requests),
             ),
         )
-        stop_at_us = clock.now() + self.configuration.stop_after_us
-        self.dispatcher.begin_drain(self.configuration.stop_after_us)
+        self.lifecycle.ready = False  # before the engine is up, no controller does it
+        self.dispatcher.begin_drain(notified_at_us, stop_at_us)
         for extension in self.extensions:
             extension.begin_drain()
         self._handle_signals_until(stop_at_us - LAST_ACCEPT_BEFORE_STOP_US)
--- a/gullyoke/runtime/dispatcher.py
+++ b/gullyoke/runtime/dispatcher.py
@@ -57,6 +57,8 @@
         duplicates: The duplicate table.
         background_work: Runs the controller's long computations.
         now: When the last call of the controller began, in microseconds of the clock.
+        drain_notified_at: When the process was told to drain, in microseconds of the clock; None
+            before that.
         stop_at: When the process stops; None until the drain begins.
         handling: Whether a thread is inside `handle` and holds the lock.
         deferred_events: Events caused by a call, delivered before the lock is released.
@@ -89,6 +91,7 @@
         self.pending_log_lines: deque[str] = deque(maxlen=MAX_PENDING_LOG_LINES)
         self.handling = False
         self.now = clock.now()
+        self.drain_notified_at: int | None = None
         self.stop_at: int | None = None
         self._flush = flush
         self._class_pools: ClassPoolSettings | None = None
@@ -113,9 +116,10 @@
             self.executor = executor
             self.now = clock.now()
             pools = self._create_class_pools(started_at)
-            self.controller = AdmissionController(started_at, executor, self.facts, pools)
-            if self.stop_at is not None:
-                self.controller.begin_drain(self.now, self.stop_at)
+            controller = AdmissionController(started_at, executor, self.facts, pools)
+            if self.drain_notified_at is not None and self.stop_at is not None:
+                controller.begin_drain(self.drain_notified_at, self.stop_at)
+            self.controller = controller
 
     def _create_class_pools(self, started_at: int) -> ClassPools | None:
         if self._class_pools is None:
@@ -228,14 +232,20 @@
 
         self.handle(act)
 
-    def begin_drain(self, stop_after: int) -> None:
-        """Begin the drain; the process stops `stop_after` microseconds from now."""
-        stop_at = clock.now() + stop_after
-        self.stop_at = stop_at
+    def begin_drain(self, notified_at: int, stop_at: int) -> None:
+        """Begin the drain, now or when the controller is created.
+
+        Args:
+            notified_at: When the process was told to drain, in microseconds of the clock.
+            stop_at: When the process stops, in microseconds of the clock.
+        """
+        with self.lock:
+            self.drain_notified_at = notified_at
+            self.stop_at = stop_at
 
         def act() -> None:
             assert self.controller is not None
-            self.controller.begin_drain(self.now, stop_at)
+            self.controller.begin_drain(notified_at, stop_at)
 
         self.handle(act)
 
--- a/tests/frontends/test_fronts.py
+++ b/tests/frontends/test_fronts.py
@@ -115,7 +115,7 @@
             self.dispatcher.notify(request, event)
 
     def begin_drain(self):
-        self.dispatcher.begin_drain(1_500_000)
+        self.dispatcher.begin_drain(self.now, self.now + 1_500_000)
 
 
 def random_script(seed, length=400):
