A start counts as healthy by the time since the engine came up

Operators could see: a start whose engine came up over a minute late counted as healthy at once, so a failure soon after was not counted against the remembered run times.

Cause: RunTimeRecorder counted the time served from the start of the process.

--- a/gullyoke/extensions/memory.py
+++ b/gullyoke/extensions/memory.py
@@ -80,8 +80,8 @@
     def __init__(self, daemon: DaemonParts, store: MemoryStore) -> None:
         self.daemon = daemon
         self.store = store
-        self.began_us = clock.now()
-        self.last_snapshot_us = self.began_us
+        self.serving_since_us: int | None = None  # None until the engine is up
+        self.last_snapshot_us = clock.now()
         self.usual_run_times_us: dict[str, float] = {}
         self.applied = False
         self.start_is_healthy = False
@@ -97,6 +97,8 @@
             server = dispatcher.controller
             if server is None:
                 return
+            if self.serving_since_us is None:
+                self.serving_since_us = clock.now()
             snapshot = self._exchange(server)
             if snapshot is None:
                 return
@@ -134,7 +136,7 @@
         if is_usual:
             self.store.put(RUN_TIMES_KEY, snapshot)
         if not self.start_is_healthy and run_time_history.is_healthy_start(
-            (now - self.began_us) / 1e6, self._internal_errors(), overloaded
+            (now - self.serving_since_us) / 1e6, self._internal_errors(), overloaded
         ):
             self.start_is_healthy = True
             self.store.put(STARTS_KEY, StartHistory())
--- a/tests/storage/test_remember.py
+++ b/tests/storage/test_remember.py
@@ -1,11 +1,18 @@
 """Run times saved for the next start, and when a start may use them."""
 
+import threading
+import types
 import unittest
+from unittest import mock
 
 from emulator.test_emulator import W
 
 from gullyoke.emulator.day import SECOND, Machines, drawn
 from gullyoke.emulator.fleet import Running, deciding
+from gullyoke.extensions.memory import RunTimeRecorder
+from gullyoke.extensions.memory_store import STARTS_KEY
+from gullyoke.runtime import clock
+from gullyoke.runtime.metrics import Metrics
 from gullyoke.storage import run_time_history, warmup_history
 
 
@@ -157,6 +164,46 @@
             or warmup_history.is_usable(None, 7, run_time_history.StartHistory(0))
         )
 
+    def test_healthy_start_counts_from_the_engine(self):
+        """The engine comes up long after the process.
+
+        Guards against a start that counts as healthy before the server has served for
+        HEALTHY_AFTER_S: one that fails soon after would count as a good one.
+        """
+        now, stored = 0, []
+        controller = types.SimpleNamespace(
+            load_snapshot=lambda _: types.SimpleNamespace(running=0, warming_up=False),
+            safety=types.SimpleNamespace(max_on_cores=lambda _: 1),
+        )
+        dispatcher = types.SimpleNamespace(
+            lock=threading.Lock(), controller=None, stop_at=None, now=0
+        )
+        daemon = types.SimpleNamespace(
+            timer=types.SimpleNamespace(call_at=lambda *_: None),
+            dispatcher=dispatcher,
+            metrics=Metrics(),
+        )
+        store = types.SimpleNamespace(put=lambda key, _: stored.append(key))
+        snapshot = run_time_history.RunTimeSnapshot(7, 1.0, {}, 0.0)
+        serving_us = int(run_time_history.HEALTHY_AFTER_S * SECOND)
+        with (
+            mock.patch.object(clock, "now", lambda: now),
+            mock.patch.object(RunTimeRecorder, "_exchange", lambda *_: snapshot),
+        ):
+            recorder = RunTimeRecorder(daemon, store)
+            now = up_at = 10 * serving_us
+            recorder._update()
+            dispatcher.controller = controller
+            recorder._update()
+            now = up_at + serving_us - 1
+            recorder._update()
+            self.assertFalse(recorder.start_is_healthy)
+            self.assertNotIn(STARTS_KEY, stored)
+            now = up_at + serving_us
+            dispatcher.stop_at = now  # so that this snapshot is judged at once
+            recorder._update()
+            self.assertTrue(recorder.start_is_healthy)
+
 
 if __name__ == "__main__":
     unittest.main()
