An unconfirmed command is not sent again for a later request with the same id

Callers could see: a client uses an id again right after its answer, the engine's link breaks within 100 ms, and a reply to a call of the first request is sent again for the second.

Cause: EventRelay.is_in_flight compared ids. Change: it compares the request.

Evidence: test_later_request_with_the_same_id fails on the code before (one command is sent again, 0 expected) and passes now.

--- a/gullyoke/daemon/event_relay.py
+++ b/gullyoke/daemon/event_relay.py
@@ -38,8 +38,8 @@
         self._metrics = metrics
 
     def is_in_flight(self, request: PendingRequest) -> bool:
-        """Return whether a request with this id is in flight."""
-        return request.request_id in self._dispatcher.requests
+        """Return whether this request is in flight, and not a later one with the same id."""
+        return self._dispatcher.requests.get(request.request_id) is request
 
     def post_event(self, request: PendingRequest, event: RequestEvent) -> None:
         """Queue an event that occurs while the dispatcher's lock is held."""
--- a/tests/executors/test_writing.py
+++ b/tests/executors/test_writing.py
@@ -9,6 +9,7 @@
 from standins import site
 
 from gullyoke.admission.interface import FAIL
+from gullyoke.daemon.event_relay import EventRelay
 from gullyoke.executors import RunOutcome, engine_protocol
 from gullyoke.executors.engine_link import EngineLink
 from gullyoke.executors.engine_protocol import RunEndedNotice
@@ -181,6 +182,24 @@
             self.assertEqual(unconfirmed.resent, 1)
             self.assertEqual([each.request for each in engine.writer.outbox], [other])
 
+    def test_later_request_with_the_same_id(self):
+        """A client uses an id again while a command of the request before is unconfirmed.
+
+        Guards against that command being sent again as one of the later request.
+        """
+        with contextlib.ExitStack() as stack:
+            engine, _ = self.open_link(stack)
+            facts = parse_site_facts(flatten_settings(site()))
+            dispatcher = Dispatcher(facts, Metrics())
+            engine.writer.listener = EventRelay(dispatcher, None, engine, Metrics())
+            earlier, later = request(1), request(1)
+            dispatcher.requests[earlier.request_id] = earlier
+            engine.start_run(earlier)
+            engine.flush()
+            dispatcher.requests[later.request_id] = later
+            self.assertEqual(engine.writer.attach().resent, 0)
+            self.assertEqual(list(engine.writer.outbox), [])
+
     def read(self, sock, size):
         """Return the next `size` bytes of a socket."""
         sock.settimeout(10)
