No two calls of a request use one connection to the database

Cause: replies name the request alone. DependencyConnection.last_request_id kept a request's next call off the connection of its last one, but another request's call in between made that forgotten. In the trace the copy of reply 3 comes at 327.7 ms, reply 4 at 328.0, and reply 3 is fed to call 4.

Change: a request remembers the connections that carried its calls, as long as it is in flight; none of them carries another one. The last request's id still counts, for an id that is used again. At the limit of connections an idle one that may not carry the call makes room for a new one.

--- a/gullyoke/dependencies/client.py
+++ b/gullyoke/dependencies/client.py
@@ -39,9 +39,9 @@
 
     A connection returns to the pool only after exactly one complete reply with the id of its call.
     An invalid or missing reply or a broken connection therefore affects one call only. Replies
-    identify their call by the request's id alone, so a request's next call never uses the
-    connection of its last call: there, a duplicate reply would be taken for the reply to the next
-    call.
+    identify their call by the request's id alone, so no two calls of a request use one connection:
+    a duplicate of the reply to the first call, however late, would be taken for the reply to the
+    second one.
 
     `lock` guards the pool. It may be acquired while the dispatcher's lock is held; the dispatcher's
     lock must not be acquired while `lock` is held.
@@ -120,7 +120,7 @@
         request.dependency_call = call
         self._timer.call_at(now + timeout_us, lambda: self.on_timeout(call))
         with self.lock:
-            connection = self._take_idle(request.request_id)
+            connection = self._take_idle(request)
             if connection is None:
                 self._queue(call)
                 return
@@ -136,14 +136,14 @@
 
     # The pool; called with `lock` held.
 
-    def _take_idle(self, request_id: str) -> DependencyConnection | None:
+    def _take_idle(self, request: PendingRequest) -> DependencyConnection | None:
         """Remove and return an idle connection for a call of this request; None if there is none.
 
-        The connection is the most recently used one that did not carry the request's last call.
-        Unusable connections found on the way are shut down.
+        The connection is the most recently used one that carried no call of the request. Unusable
+        connections found on the way are shut down.
         """
         for index in range(len(self.idle) - 1, -1, -1):
-            if self.idle[index].last_request_id != request_id:
+            if self.idle[index].may_carry_call_of(request):
                 connection = self.idle.pop(index)
                 if connection.is_usable():
                     return connection
@@ -153,11 +153,12 @@
     def _assign(self, connection: DependencyConnection, call: DependencyCall) -> None:
         connection.call = call
         call.connection = connection
+        call.request.call_connections += (connection,)
 
     def _assign_queued(self, connection: DependencyConnection) -> DependencyCall | None:
         """Assign a queued call to a free connection and return it, or make the connection idle."""
         for call in self._queued:
-            if call.request.request_id != connection.last_request_id:
+            if connection.may_carry_call_of(call.request):
                 self._queued.remove(call)
                 self._assign(connection, call)
                 return call
@@ -165,12 +166,17 @@
         return None
 
     def _queue(self, call: DependencyCall) -> None:
-        """Have a connection opened for a call, or queue the call at the connection limit."""
+        """Have a connection opened for a call, or queue the call at the connection limit.
+
+        At the limit, an idle connection that may not carry the call makes room for one that may.
+        """
         if self.connection_count < self._max_connections:
             self.connection_count += 1
             self._to_connect.put(call)
-        else:
-            self._queued.append(call)
+            return
+        self._queued.append(call)
+        if self.idle:
+            self.idle.pop(0).shut_down()
 
     # The end of a call.
 
--- a/gullyoke/dependencies/connection.py
+++ b/gullyoke/dependencies/connection.py
@@ -7,6 +7,7 @@
 
 from gullyoke.dependencies.call import DependencyCall
 from gullyoke.runtime import clock
+from gullyoke.runtime.pending_request import PendingRequest
 from gullyoke.runtime.sockets import shutdown_both
 
 
@@ -33,6 +34,13 @@
         self._lock = threading.Lock()  # prevents writing to a closed socket
         self._is_open = True
 
+    def may_carry_call_of(self, request: PendingRequest) -> bool:
+        """Return whether the connection carried no call of the request.
+
+        The last call counts by its id, in case a client uses the id of an earlier request again.
+        """
+        return self not in request.call_connections and self.last_request_id != request.request_id
+
     def is_usable(self) -> bool:
         """Return whether the connection is open and has no unread bytes, such as a late reply."""
         try:
--- a/gullyoke/runtime/pending_request.py
+++ b/gullyoke/runtime/pending_request.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from gullyoke.dependencies.call import DependencyCall
+    from gullyoke.dependencies.connection import DependencyConnection
     from gullyoke.runtime.duplicate_table import KeyEntry
 
 Outcome: TypeAlias = Literal[RequestEvent.COMPLETED] | Fail | Reject
@@ -30,6 +31,8 @@
             connection waits for it.
         key_entry: The entry in the duplicate table; None for none.
         dependency_call: The dependency call in flight; None for none.
+        call_connections: The connections that carried the dependency calls of the run so far.
+            Guarded by the dependency client's lock.
         call_body: The body of the dependency call; None until the run needs the call.
         call_notice: The number of the engine's notice that asks for the call.
         notices_read: How many of the engine's notices about the run were read.
@@ -43,6 +46,7 @@
         "backend_name",
         "body_digest",
         "call_body",
+        "call_connections",
         "call_notice",
         "dependency_call",
         "frontend_name",
@@ -64,6 +68,7 @@
     key_entry: KeyEntry | None
     dependency_call: DependencyCall | None
     call_body: bytes | None
+    call_connections: tuple[DependencyConnection, ...]
     call_notice: int
     notices_read: int
     frontend_name: str
@@ -88,6 +93,7 @@
         self.body_digest = hash(message.body)
         self.answer = self.outcome = self.key_entry = None
         self.dependency_call = self.call_body = None
+        self.call_connections = ()
         self.call_notice = self.notices_read = 0
         self.answer_gate = threading.Lock()
         self.answer_gate.acquire()
