Unconfirmed commands have a module of their own

Need: EngineWriter wrote commands and also kept, pruned and confirmed those that the engine may not have read, two jobs over one set of fields.

Change: UnconfirmedCommands keeps them, with SentCommand, in executors/unconfirmed_commands.py; the writer asks it. What attach returns is an AttachReport.

--- a/gullyoke/executors/engine_link.py
+++ b/gullyoke/executors/engine_link.py
@@ -21,7 +21,8 @@
     Notice,
     RunEndedNotice,
 )
-from gullyoke.executors.engine_writer import EngineWriter, SentCommand
+from gullyoke.executors.engine_writer import EngineWriter
+from gullyoke.executors.unconfirmed_commands import SentCommand
 from gullyoke.runtime.close_reasons import CloseReason, ConnectionClosedError, serve_connection
 from gullyoke.runtime.logs import log, log_fields
 from gullyoke.runtime.metrics import Metrics
@@ -196,16 +197,16 @@
     def _on_gauges(self, notice: GaugesNotice) -> None:
         if notice.tag == self._attach_tag:
             self._attach_tag = ""
-            unconfirmed = self.writer.attach()
+            report = self.writer.attach()
             log.info(
                 "link to the engine attached",
                 extra=log_fields(
                     notice=self._last_notice,
-                    resent=unconfirmed.resent,
-                    unconfirmed_replies=len(unconfirmed.call_replies),
+                    resent=report.resent,
+                    unconfirmed_replies=len(report.unconfirmed_replies),
                 ),
             )
-            for request in unconfirmed.call_replies:
+            for request in report.unconfirmed_replies:
                 self._listener.on_call_reply_unconfirmed(request)
             return
         self.writer.confirm(notice.tag)
--- a/gullyoke/executors/engine_writer.py
+++ b/gullyoke/executors/engine_writer.py
@@ -5,45 +5,25 @@
 import socket
 import threading
 from collections import deque
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from gullyoke.executors import ExecutorListener
+from gullyoke.executors.unconfirmed_commands import SentCommand, UnconfirmedCommands
 from gullyoke.runtime.metrics import Metrics
 from gullyoke.runtime.pending_request import PendingRequest
 from gullyoke.runtime.sockets import shutdown_both
 
-MAX_UNCONFIRMED: Final = 256  # obsolete unconfirmed commands are dropped only above this
-NO_TAG: Final = -1
 
-
-class SentCommand(NamedTuple):
-    """A command to the engine.
-
-    Args:
-        data: The encoded command.
-        request: The request that the command concerns; None for a poll of the gauges.
-        notices_read: How many notices on that request had been read when the command was queued.
-        tag: Tag of a poll of the gauges.
-        is_call_reply: Whether the command is the reply to a dependency call.
-    """
-
-    data: bytes
-    request: PendingRequest | None = None
-    notices_read: int = 0
-    tag: int = NO_TAG
-    is_call_reply: bool = False
-
-
-class UnconfirmedCommands(NamedTuple):
-    """Commands of requests in flight that the last link may have lost.
+class AttachReport(NamedTuple):
+    """What became of the commands of requests in flight that the last link may have lost.
 
     Args:
         resent: How many are sent again.
-        call_replies: The requests whose replies to dependency calls are not sent again.
+        unconfirmed_replies: The requests whose replies to dependency calls are not sent again.
     """
 
     resent: int
-    call_replies: list[PendingRequest]
+    unconfirmed_replies: list[PendingRequest]
 
 
 class EngineWriter:
@@ -55,10 +35,7 @@
     Attributes:
         outbox: Commands that are not completely written, so that the engine can't have read them.
         bytes_written: How many bytes of the first command in `outbox` this link has accepted.
-        unconfirmed: Commands written since the last poll of the gauges that was answered; the
-            answer proves that the engine read the commands written before that poll. Each request
-            in flight has a few unconfirmed commands; if the engine answers no polls for long,
-            commands of finished requests are dropped.
+        unconfirmed: Commands that the engine may or may not have read.
         sock: Socket of the link; None while there is no link.
         attached: Whether commands may be written, because all missed notices have been read.
     """
@@ -69,11 +46,10 @@
         self.condition = threading.Condition(threading.Lock())
         self.outbox: deque[SentCommand] = deque()
         self.bytes_written = 0
-        self.unconfirmed: deque[SentCommand] = deque()
+        self.unconfirmed = UnconfirmedCommands(lambda request: self.listener.is_in_flight(request))
         self.sock: socket.socket | None = None
         self.attached = False
         self._writing = False  # whether the writing thread is writing
-        self._prune_above = MAX_UNCONFIRMED
 
     def start(self, listener: ExecutorListener) -> None:
         """Start the writing thread; `listener` knows which requests are in flight."""
@@ -151,66 +127,39 @@
             self.bytes_written -= len(command.data)
             self.unconfirmed.append(command)
             completed += 1
-        if len(self.unconfirmed) > self._prune_above:
-            self._prune_unconfirmed()
         return completed
 
-    def _prune_unconfirmed(self) -> None:
-        """Drop commands of requests that are over, and all polls except the last."""
-        last_tag = max((command.tag for command in self.unconfirmed), default=NO_TAG)
-        self.unconfirmed = deque(
-            command
-            for command in self.unconfirmed
-            if self._is_in_flight(command) or 0 <= command.tag == last_tag
-        )
-        self._prune_above = max(MAX_UNCONFIRMED, 2 * len(self.unconfirmed))
-
-    def _is_in_flight(self, command: SentCommand) -> bool:
-        return command.request is not None and self.listener.is_in_flight(command.request)
-
     # Called by the reading thread; `shut_down` also when the address changes.
 
     def confirm(self, tag: str) -> None:
         """Drop the poll with this tag and all commands before it: the engine has read them."""
         with self.condition:
-            if any(str(command.tag) == tag for command in self.unconfirmed):
-                while str(self.unconfirmed.popleft().tag) != tag:
-                    pass
+            self.unconfirmed.confirm(tag)
 
-    def attach(self) -> UnconfirmedCommands:
+    def attach(self) -> AttachReport:
         """Allow writing on the new link, and queue again what the last link may have lost.
 
-        These are the unconfirmed commands of requests in flight. A command is left out if a later
-        notice on its request shows that the engine has read it. Repeating is safe for all but one:
-        `RUN` and `HALT` do nothing the second time, and `SKIP` names its notice. `FEED` names no
-        call. If the engine has read the first one, the run may wait for its next call when the
-        second one arrives, and would take the reply for that to the next call.
+        Repeating is safe for all commands but one: `RUN` and `HALT` do nothing the second time, and
+        `SKIP` names its notice. `FEED` names no call. If the engine has read the first one, the run
+        may wait for its next call when the second one arrives, and would take the reply for that
+        to the next call.
         """
         with self.condition:
-            uncertain = [command for command in self.unconfirmed if self._may_be_lost(command)]
-            self.unconfirmed.clear()
+            uncertain = self.unconfirmed.take_uncertain()
             resent = [command for command in uncertain if not command.is_call_reply]
             self.outbox.extendleft(reversed(resent))
             self.attached = True
             self.bytes_written = 0  # a command that was partly written is sent again whole
             self.condition.notify_all()
-        call_replies = [
+        unconfirmed_replies = [
             command.request
             for command in uncertain
             if command.is_call_reply and command.request is not None
         ]
         if uncertain:
             self._metrics.increment("engine.resent_commands", len(resent))
-            self._metrics.increment("engine.unconfirmed_replies", len(call_replies))
-        return UnconfirmedCommands(len(resent), call_replies)
-
-    def _may_be_lost(self, command: SentCommand) -> bool:
-        request = command.request
-        return (
-            request is not None
-            and self.listener.is_in_flight(request)
-            and command.notices_read == request.notices_read
-        )
+            self._metrics.increment("engine.unconfirmed_replies", len(unconfirmed_replies))
+        return AttachReport(len(resent), unconfirmed_replies)
 
     def shut_down(self) -> None:
         """Shut the link down, if there is one; the caller holds `condition`."""
--- a/tests/executors/test_writing.py
+++ b/tests/executors/test_writing.py
@@ -13,7 +13,7 @@
 from gullyoke.executors import RunOutcome, engine_protocol
 from gullyoke.executors.engine_link import EngineLink
 from gullyoke.executors.engine_protocol import RunEndedNotice
-from gullyoke.executors.engine_writer import MAX_UNCONFIRMED
+from gullyoke.executors.unconfirmed_commands import MAX_UNCONFIRMED
 from gullyoke.runtime.dispatcher import Dispatcher
 from gullyoke.runtime.messages import Message
 from gullyoke.runtime.metrics import Metrics
@@ -177,9 +177,9 @@
             engine.start_run(other)
             engine.flush()
             engine.writer.attached = False
-            unconfirmed = engine.writer.attach()
-            self.assertEqual(unconfirmed.call_replies, [one])
-            self.assertEqual(unconfirmed.resent, 1)
+            report = engine.writer.attach()
+            self.assertEqual(report.unconfirmed_replies, [one])
+            self.assertEqual(report.resent, 1)
             self.assertEqual([each.request for each in engine.writer.outbox], [other])
 
     def test_later_request_with_the_same_id(self):
