--- a/tests/crossing/live.py
+++ b/tests/crossing/live.py
@@ -17,7 +17,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from unittest import mock
 
-from standins import PATIENCE, ROOT, Sockets, message, request_id
+from standins import ROOT, TIMEOUT_S, Sockets, message, request_id
 
 from gullyoke.daemon import composition
 from gullyoke.daemon.composition import build_daemon
@@ -82,8 +82,8 @@
 
 
 def eventually(ask, what):
-    """Wait until `ask` returns a true value; fail with `what` after `PATIENCE` seconds."""
-    until = time.monotonic() + PATIENCE
+    """Wait until `ask` returns a true value; fail with `what` after `TIMEOUT_S` seconds."""
+    until = time.monotonic() + TIMEOUT_S
     while not ask():
         assert time.monotonic() < until, f"never came: {what}"
         time.sleep(0.001)
@@ -93,7 +93,7 @@
     """A gateway's connection."""
 
     def __init__(self, address):
-        self.sock = socket.create_connection(address, PATIENCE)
+        self.sock = socket.create_connection(address, TIMEOUT_S)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.file = self.sock.makefile("rb")
 
@@ -167,7 +167,7 @@
 
         Messages about the requests named in `again` may come before that.
         """
-        while (got := self.engine.heard.get(timeout=PATIENCE))[1] in again:
+        while (got := self.engine.heard.get(timeout=TIMEOUT_S))[1] in again:
             pass
         assert got[:2] == ["RUN", name], f"heard {got[:3]}"
 
@@ -191,7 +191,7 @@
         got = client.answer()
         assert got == (200, "fine"), got
 
-    def unheard(self):
+    def check_nothing_heard(self):
         """Fail if the engine has received a message that the test has not yet taken."""
         with contextlib.suppress(queue.Empty):
             got = self.engine.heard.get_nowait()
--- a/tests/crossing/test_connections.py
+++ b/tests/crossing/test_connections.py
@@ -67,7 +67,7 @@
                 self.assertEqual(live.count("messages.crossed"), crossed + 1)
                 client.close()
                 eventually(lambda: not live.connections.open, "closed")
-                live.unheard()
+                live.check_nothing_heard()
 
     @apart
     def test_request_before_the_half_close(self):
@@ -131,7 +131,7 @@
                     self.assertIsNone(client.answer())
                 client.close()
                 eventually(lambda: not live.connections.open, "closed")
-                live.unheard()
+                live.check_nothing_heard()
 
     @apart
     def test_half_a_message_is_not_idle(self):
@@ -204,7 +204,7 @@
                     self.assertIsNone(client.answer())
                 client.close()
                 eventually(lambda: not live.connections.open, "closed")
-                live.unheard()
+                live.check_nothing_heard()
             self.assertEqual(live.count("ends.gateway.stalled"), REPEATS)
 
     @apart
@@ -412,7 +412,7 @@
             self.assertEqual(set(over_unread), {False})
             self.assertLessEqual(threading.active_count(), threads)
             self.assertEqual(descriptors(), open_descriptors)
-            live.unheard()
+            live.check_nothing_heard()
             live.served(warm, "last")
 
     def check_answer(self, live, data, status):
@@ -451,7 +451,7 @@
                     threads, open_descriptors = threading.active_count(), descriptors()
             self.assertEqual(descriptors(), open_descriptors)
             self.assertLessEqual(threading.active_count(), threads + 1)
-            live.unheard()
+            live.check_nothing_heard()
             live.served(warm, "last")
 
 
--- a/tests/crossing/test_dependency.py
+++ b/tests/crossing/test_dependency.py
@@ -11,7 +11,7 @@
 import time
 import unittest
 
-from standins import PATIENCE, ROOT, Engine, Names, StandIn, message, site
+from standins import ROOT, TIMEOUT_S, Engine, ServiceRegistry, StandIn, message, site
 
 from crossing.live import eventually
 from gullyoke.experiments.ports import free
@@ -145,7 +145,7 @@
 
     def load(self, until, lane):
         """One client: sends each request once the previous one is answered."""
-        with socket.create_connection(self.listen, PATIENCE) as conn, conn.makefile("rb") as file:
+        with socket.create_connection(self.listen, TIMEOUT_S) as conn, conn.makefile("rb") as file:
             n = 0
             while time.monotonic() < until:
                 n += 1
@@ -170,7 +170,7 @@
         """
         with contextlib.ExitStack() as stack:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-            dependency, naming = Dependency(), Names()
+            dependency, naming = Dependency(), ServiceRegistry()
             stack.callback(dependency.down)
             stack.callback(naming.down)
             servers = [Server(n, dependency, naming, folder) for n in range(SERVERS)]
@@ -190,11 +190,11 @@
             for client in clients:
                 client.start()
             for client in clients:
-                client.join(PATIENCE)
+                client.join(TIMEOUT_S)
                 self.assertFalse(client.is_alive())
             for one in servers:
                 one.process.terminate()
-            self.assertEqual({one.process.wait(PATIENCE) for one in servers}, {0})
+            self.assertEqual({one.process.wait(TIMEOUT_S) for one in servers}, {0})
             most, total = dependency.highest_mean(), SERVERS * SHARE
             print(
                 f"calls in hand, mean of {SPAN_S:g} s: {most:.1f} at the most of {total:g}; "
--- a/tests/crossing/test_requests.py
+++ b/tests/crossing/test_requests.py
@@ -9,7 +9,7 @@
 import unittest
 from unittest import mock
 
-from standins import PATIENCE, request_id
+from standins import TIMEOUT_S, request_id
 
 from crossing.live import REPEATS, Live, apart, eventually
 from gullyoke.admission.interface import REMEMBERED_REQUEST, Idempotency, RequestClass, RequestEvent
@@ -35,7 +35,7 @@
     def acquire(self, timeout=None):
         with self.condition:
             if timeout is not None:
-                self.condition.wait_for(lambda: not self.locked or self.expired, PATIENCE)
+                self.condition.wait_for(lambda: not self.locked or self.expired, TIMEOUT_S)
             got, self.locked = not self.locked, True
             return got
 
@@ -130,7 +130,7 @@
                     live.done(f"f{i}")
                     self.assertEqual(one.answer(), (200, "fine"))
                 self.assertEqual(two.answer(), (200, "fine"))
-                live.unheard()
+                live.check_nothing_heard()
             self.assertEqual(live.count("answers.completed"), 2 * REPEATS)
 
     @apart
@@ -162,7 +162,7 @@
                     self.assertEqual(one.answer(), wanted)
                     self.assertEqual(two.answer(), wanted)
                     eventually(lambda: not live.dispatcher.requests, "no longer in flight")
-                    live.unheard()
+                    live.check_nothing_heard()
 
     def test_end_of_a_window(self):
         """A request is a duplicate up to the last microsecond of the window and a new one later.
@@ -240,10 +240,10 @@
                     client.send(f"p{i}", "pay")
                     live.run(f"p{i}")
                     live.need(f"p{i}")
-                    got = live.db.heard.get(timeout=PATIENCE)
+                    got = live.db.heard.get(timeout=TIMEOUT_S)
                     self.assertEqual(got[:2], ["Q", f"p{i}"])
                     if first == "reply":
-                        got = live.engine.heard.get(timeout=PATIENCE)
+                        got = live.engine.heard.get(timeout=TIMEOUT_S)
                         self.assertEqual(got[:3], ["FEED", f"p{i}", "reply"])
                         live.done(f"p{i}")
                         self.assertEqual(client.answer(), (200, "fine"))
@@ -253,7 +253,7 @@
                         self.assertEqual(heard, [RequestEvent.CALL_OUTCOME_UNKNOWN])
                         live.done(f"p{i}", "", "halted")
                     eventually(lambda: not live.dispatcher.requests, "no longer in flight")
-                    live.unheard()
+                    live.check_nothing_heard()
                     self.assertTrue(live.db.heard.empty())
 
     @apart
@@ -296,7 +296,7 @@
                     live.run(f"g{i}")
                     live.need(f"g{i}")
                     eventually(lambda: dependency.idle, "its connection in the pool")
-                live.engine.heard.get(timeout=PATIENCE)  # the run goes on without the call
+                live.engine.heard.get(timeout=TIMEOUT_S)  # the run goes on without the call
                 live.done(f"g{i}")
                 self.assertEqual(client.answer(), (200, "fine"))
                 self.assertEqual(len(dependency.idle), 1)
@@ -315,11 +315,11 @@
                 live.run("same")
                 for n in range(2):
                     live.need("same", f"q{i}x{n}")
-                    got = live.db.heard.get(timeout=PATIENCE)
+                    got = live.db.heard.get(timeout=TIMEOUT_S)
                     self.assertEqual(got[:3], ["Q", "same", f"q{i}x{n}"])
                     reply = f"{request_id('same')} ROWS 4\r\nr{n:03}\r\n"
                     live.db.say(reply + (reply if n == 0 else ""), got[3])
-                    got = live.engine.heard.get(timeout=PATIENCE)
+                    got = live.engine.heard.get(timeout=TIMEOUT_S)
                     self.assertEqual(got[:3], ["FEED", "same", f"r{n:03}"])
                 live.done("same")
                 self.assertEqual(client.answer(), (200, "fine"))
@@ -341,14 +341,14 @@
                 while not live.engine.joined.empty():
                     live.engine.joined.get()
                 live.engine.drop()
-                got = live.engine.joined.get(timeout=PATIENCE)
+                got = live.engine.joined.get(timeout=TIMEOUT_S)
                 self.assertEqual(got, str(live.engine.notices))
                 live.engine.notices += 1
                 for _ in range(2):
                     live.engine.say(
                         f"NEED {live.engine.notices} {request_id(f'b{i}')} 3\r\nask\r\n"
                     )
-                self.assertEqual(live.db.heard.get(timeout=PATIENCE)[:3], ["Q", f"b{i}", "ask"])
+                self.assertEqual(live.db.heard.get(timeout=TIMEOUT_S)[:3], ["Q", f"b{i}", "ask"])
                 live.engine.notices += 1
                 for _ in range(2):
                     live.engine.say(
@@ -385,7 +385,7 @@
                 ):
                     old.drop()
                     eventually(lambda old=old: live.engine is not old, "moved")
-                    self.assertEqual(live.engine.joined.get(timeout=PATIENCE), str(old.notices))
+                    self.assertEqual(live.engine.joined.get(timeout=TIMEOUT_S), str(old.notices))
                 live.served(client, f"m{i}")
                 old.down()
 
--- a/tests/crossing/test_signals.py
+++ b/tests/crossing/test_signals.py
@@ -20,7 +20,7 @@
 if __name__ == "__main__":
     sys.path.insert(0, str(pathlib.Path(__file__).parents[2]))
 else:
-    from standins import PATIENCE, ROOT, Sockets
+    from standins import ROOT, TIMEOUT_S, Sockets
 
     from crossing.live import REPEATS, SIDE_BY_SIDE
 
@@ -109,7 +109,7 @@
                 text=True,
                 env=os.environ | {"NODE_CONFIG": scene.config},
             )
-            _, printed = process.communicate(timeout=PATIENCE)
+            _, printed = process.communicate(timeout=TIMEOUT_S)
             os.unlink(scene.config)
         return process.returncode, printed
 
--- a/tests/scgi/test_scgi.py
+++ b/tests/scgi/test_scgi.py
@@ -14,7 +14,7 @@
 from test_scenarios import on_sockets
 
 HERE = pathlib.Path(__file__).parent
-HANDLERS = ("view", "view", "book", "pay")
+REQUEST_CLASSES = ("view", "view", "book", "pay")
 
 
 class Scgi(unittest.TestCase):
@@ -46,7 +46,7 @@
             scene.said("event=serving")
             start = time.monotonic()
             for i in range(2000):
-                by_scgi, request_class = rng.random() < 0.5, rng.choice(HANDLERS)
+                by_scgi, request_class = rng.random() < 0.5, rng.choice(REQUEST_CLASSES)
                 wait = start + i / 400 - time.monotonic()
                 if wait > 0:
                     time.sleep(wait)
@@ -68,7 +68,7 @@
             sent[by_scgi, request_class] += 1
             rejected[by_scgi, request_class] += status == "503"
         self.assertGreater(sum(rejected.values()), 500)
-        for request_class in set(HANDLERS):
+        for request_class in set(REQUEST_CLASSES):
             n = sent[True, request_class] + sent[False, request_class]
             share = (rejected[True, request_class] + rejected[False, request_class]) / n
             band = math.sqrt(math.log(2 * 3 * 1e6) / (2 * sent[True, request_class]))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -20,8 +20,8 @@
 from gullyoke.experiments.ports import free
 
 ROOT = pathlib.Path(__file__).parent.parent
-PATIENCE = 20  # seconds before an expected event counts as missing
-HANDLERS = (
+TIMEOUT_S = 20  # seconds before an expected event counts as missing
+REQUEST_CLASSES = (
     ("view", "repeatable", 1.0, True, 0.3),
     ("book", "by_key", 2.0, False, 0.0),
     ("pay", "once", 3.0, True, 0.0),
@@ -30,7 +30,7 @@
 
 def site(**over):
     """The `settings` part of a configuration; `over` replaces some of its values."""
-    g = {
+    values = {
         "timeout": 60_000,
         "target": 20_000,
         "fresh": 0,
@@ -41,29 +41,29 @@
         "window": 5000,
         "classes": "",
     }
-    g.update({key: over[key] for key in g if key in over})
+    values.update({key: over[key] for key in values if key in over})
     profiles = [
         {
-            "Name": g["classes"] + name,
-            "ObjectiveUs": int(g["target"] * 1000),
-            "DeadlineUs": int(g["timeout"] * 1000),
+            "Name": values["classes"] + name,
+            "ObjectiveUs": int(values["target"] * 1000),
+            "DeadlineUs": int(values["timeout"] * 1000),
             "Importance": value,
             "Semantics": kind,
             "LateWorth": 0.2,
-            "KeyTtlUs": int(g["window"] * 1000),
+            "KeyTtlUs": int(values["window"] * 1000),
         }
-        for name, kind, value, _, _ in HANDLERS
+        for name, kind, value, _, _ in REQUEST_CLASSES
     ]
     info = {
-        "Cores": int(g["cores"]),
+        "Cores": int(values["cores"]),
         "MemoryKb": 1e6,
         "Blowup": 4.0,
         "KeyKb": 10.0,
         "FreshStart": False,
-        "StopMode": g["stop"],
+        "StopMode": values["stop"],
         "OwnStats": ["core_use", "on_cores", "heap_share", "links"],
-        "CallsByClass": [h[3] for h in HANDLERS],
-        "ClassSkipWorth": [h[4] for h in HANDLERS],
+        "CallsByClass": [h[3] for h in REQUEST_CLASSES],
+        "ClassSkipWorth": [h[4] for h in REQUEST_CLASSES],
         "DependsOn": "one_for_all",
         "CallsOut": 50.0,
         "ShareSpanUs": 5_000_000,
@@ -74,13 +74,13 @@
         "PassesDeadline": True,
         "DeepChecks": False,
         "Readiness": False,
-        "CallerIdleUs": int(g["idle"] * 1000),
-        "FreshForUs": int(g["fresh"] * 1000),
+        "CallerIdleUs": int(values["idle"] * 1000),
+        "FreshForUs": int(values["fresh"] * 1000),
         "Callers": 3,
     }
     rules = {
         "AnswerSlackUs": 80_000,
-        "DrainGraceUs": int(g["grace"] * 1000),
+        "DrainGraceUs": int(values["grace"] * 1000),
         "TipMultiple": 8.0,
         "TipAfterUs": 1_500_000,
         "StartCapacity": 0.25,
@@ -239,7 +239,7 @@
         while self.beats.acquire(blocking=False):
             pass
         for _ in range(2):
-            assert self.beats.acquire(timeout=PATIENCE), "no wake-up"
+            assert self.beats.acquire(timeout=TIMEOUT_S), "no wake-up"
 
 
 class Busy(Engine):
@@ -250,7 +250,7 @@
 
     def __init__(self, cores, span):
         self.cores, self.span, self.tasks, self.there = cores, span, queue.SimpleQueue(), 0
-        self.pen = threading.Lock()
+        self.lock = threading.Lock()
         super().__init__()
         self.state = "warm"
         for _ in range(cores):
@@ -259,11 +259,11 @@
     def message(self, link, file, words):
         if words[0] == "RUN":
             file.read(int(words[-1]) + 2)
-            with self.pen:
+            with self.lock:
                 self.there += 1
             self.tasks.put(words[1])
         elif words[0] == "STAT":
-            with self.pen:
+            with self.lock:
                 self.say(
                     f"STATS {words[1]} {min(1.0, self.there / self.cores)} {self.there} 0.1 9\r\n",
                     link,
@@ -275,13 +275,13 @@
         while True:
             name = self.tasks.get()
             time.sleep(self.span)
-            with self.pen, contextlib.suppress(OSError, IndexError):
+            with self.lock, contextlib.suppress(OSError, IndexError):
                 self.there -= 1
                 self.notices += 1
                 self.say(f"DONE {self.notices} {name} ok 10 4\r\nfine\r\n")
 
 
-class Names(StandIn):
+class ServiceRegistry(StandIn):
     def message(self, link, file, words):
         while line := file.readline().strip():
             words += line.decode().split()
@@ -327,7 +327,7 @@
         self.wanted, self.backends, self.folder = [], {}, tempfile.TemporaryDirectory()
         self.operator = pathlib.Path(self.folder.name, "operator.textproto")
         self.scgi, self.listen = free(), free()
-        self.engine, self.db, self.naming = Engine(), StandIn(), Names()
+        self.engine, self.db, self.naming = Engine(), StandIn(), ServiceRegistry()
         self.root, self.rest, self.latest, self.pooled, self.rows = ROOT, {}, {}, [], None
         self.given, self.gateways, self.process, self.lines, self.config = {}, {}, None, [], None
         self.firsts = {}  # by idempotency key, the name of the first attempt
@@ -407,7 +407,7 @@
 
     @staticmethod
     def eventually(ask, what):
-        until = time.monotonic() + PATIENCE
+        until = time.monotonic() + TIMEOUT_S
         while not ask():
             assert time.monotonic() < until, f"never came: {what}"
             time.sleep(0.01)
@@ -445,7 +445,7 @@
             self.backend(self.backends[who.rstrip(">")], who, rest)
         elif who.endswith(">"):
             peer = {"engine>": self.engine, "db>": self.db, "naming>": self.naming}[who]
-            got = peer.heard.get(timeout=PATIENCE)[:3]
+            got = peer.heard.get(timeout=TIMEOUT_S)[:3]
             assert got[: len(rest)] == rest or [*got[:2], *got[2].split()] == rest, f"heard {got}"
         else:
             getattr(self, f"at_{who}")(*rest)
@@ -469,7 +469,7 @@
 
     def backend(self, one, who, rest):
         if who.endswith(">"):
-            got = one.heard.get(timeout=PATIENCE)
+            got = one.heard.get(timeout=TIMEOUT_S)
             assert got[0] == rest[0], f"heard {got}"
             for key, mark, value in (x.partition("=") for x in rest[1:]):
                 assert got[2].get(key) == value if mark else key in got[2], f"headers {got[2]}"
@@ -486,7 +486,7 @@
         elif verb in ("end", "reset"):
             one.end(name, verb == "reset")
         elif verb == "closed":
-            assert one.joined.get(timeout=PATIENCE) == name
+            assert one.joined.get(timeout=TIMEOUT_S) == name
         elif verb == "none":
             time.sleep(0.15)
             assert one.heard.empty(), f"heard {one.heard.get()[:2]}"
@@ -496,12 +496,12 @@
     def at_engine(self, verb, *rest):
         engine = self.engine
         if verb == "up":
-            assert engine.joined.get(timeout=PATIENCE) is not None
+            assert engine.joined.get(timeout=TIMEOUT_S) is not None
             engine.state = rest[0]
             engine.say(f"HELLO {engine.state} 5000\r\n")
             self.said("event=serving")
         elif verb == "attached":
-            got = engine.joined.get(timeout=PATIENCE)
+            got = engine.joined.get(timeout=TIMEOUT_S)
             assert got == rest[0], f"attached at {got}"
         elif verb == "silent":
             engine.silent = True
@@ -547,7 +547,7 @@
     # The process.
 
     def at_ping(self, status):
-        with socket.create_connection(self.listen, PATIENCE) as conn, conn.makefile("rb") as file:
+        with socket.create_connection(self.listen, TIMEOUT_S) as conn, conn.makefile("rb") as file:
             conn.sendall(b"GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
             got = file.readline().split()[1].decode()
         assert got == status, f"check answered {got}"
@@ -576,7 +576,7 @@
         self.process.send_signal(signal.SIGCONT)
 
     def at_exit(self, code):
-        assert self.process.wait(PATIENCE) == int(code), self.process.returncode
+        assert self.process.wait(TIMEOUT_S) == int(code), self.process.returncode
 
     def at_kill(self):
         self.process.kill()
@@ -633,7 +633,7 @@
 
     def at_crowd(self, count):
         for i in range(int(count)):
-            self.gateways[f"crowd{i}"] = socket.create_connection(self.listen, PATIENCE), None
+            self.gateways[f"crowd{i}"] = socket.create_connection(self.listen, TIMEOUT_S), None
 
     def at_swarm(self, kind, count, request_class):
         """Open `count` connections with a request on each; ignore those that the server refuses."""
@@ -658,11 +658,11 @@
         if number not in self.gateways:
             if number[0] == "u":
                 conn = socket.socket(socket.AF_UNIX)
-                conn.settimeout(PATIENCE)
+                conn.settimeout(TIMEOUT_S)
                 conn.connect(f"{self.folder.name}/scgi.sock")
             else:
                 conn = socket.create_connection(
-                    self.scgi if number[0] == "s" else self.listen, PATIENCE
+                    self.scgi if number[0] == "s" else self.listen, TIMEOUT_S
                 )
                 conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.gateways[number] = conn, conn.makefile("rb")
