Review: after a restart another body under a key is answered with the kept result

A uniqued request is known by its key; another content under a key is refused with 422, but the kept records have no digest.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -24,6 +24,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RUN = "exec .venv/bin/python -m gullyoke"  # `run` of deploy/balancer.toml
+SERVE = "exec .venv/bin/python -m gullyoke.cli serve --operator"  # README, "Run it"
 START_TIMEOUT_S = 30.0
 BROKEN, HELD, NOT_RUN = 1, 0, 2  # exit codes of a case
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -226,11 +227,40 @@
                 link.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
 
 
+def _deployed(folder: pathlib.Path) -> pathlib.Path:
+    """Return a folder with the program as `build` leaves it in a fresh clone.
+
+    No start may write to it: "The file system is read-only but for `$TMPDIR`" (DEPLOY). So there is
+    no bytecode of the program's own modules, and no start leaves any.
+    """
+    root = folder / "root"
+    shutil.copytree(
+        ROOT / "gullyoke", root / "gullyoke", ignore=shutil.ignore_patterns("__pycache__")
+    )
+    (root / ".venv").symlink_to(ROOT / ".venv")
+    return root
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return int(free.getsockname()[1])
+
+
 class Server:
-    """One process of the project, started by the `run` command of the deploy file."""
+    """One process of the project, started by the `run` command of the deploy file.
+
+    With an operator's file it is started by the command that README names for that.
+    """
 
     def __init__(
-        self, record: Record, peers: dict[str, str], stop_ms: int, site: dict[str, Any]
+        self,
+        record: Record,
+        peers: dict[str, str],
+        stop_ms: int,
+        site: dict[str, Any],
+        port: int = 0,
+        operator: str = "",
     ) -> None:
         """Start the process.
 
@@ -239,12 +269,15 @@
             peers: The addresses `engine`, `db` and `naming`.
             stop_ms: From SIGTERM to SIGKILL.
             site: The settings.
+            port: Where it listens; 0 for a free port.
+            operator: The text of the operator's file; empty for none.
         """
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = int(free.getsockname()[1])
+        self.port = port or free_port()
+        self.stop_ms = stop_ms
         self._record = record
         self._folder = pathlib.Path(tempfile.mkdtemp())
         self._log = (self._folder / "log").open("w")
+        root = _deployed(self._folder)
         listen = f"127.0.0.1:{self.port}"
         config = peers | {
             "name": "n3",
@@ -257,12 +290,16 @@
         path = self._folder / "config.json"
         path.write_text(json.dumps(config))
         told = {"NODE_NAME": "n3", "NODE_LISTEN": listen, "NODE_CONFIG": str(path)}
+        command = RUN
+        if operator:
+            (self._folder / "operator.textproto").write_text(operator)
+            command = f"{SERVE} {self._folder}/operator.textproto"
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", RUN],
-            cwd=ROOT,
+            ["/bin/sh", "-c", command],
+            cwd=root,
             stdout=self._log,
             stderr=self._log,
-            env=os.environ | told,
+            env=os.environ | told | {"PYTHONDONTWRITEBYTECODE": "1"},
         )
 
     def wait_until(self, holds: Callable[[], bool], poll_s: float = 0.02) -> None:
@@ -291,6 +328,13 @@
         blocked = next(line for line in status.splitlines() if line.startswith("SigBlk"))
         return bool(int(blocked.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
 
+    def leave(self) -> None:
+        """Tell the process to leave, and wait until it has ended or its time is over."""
+        self.process.send_signal(signal.SIGTERM)
+        self._record.note(f"SIGTERM to the server; SIGKILL follows in {self.stop_ms} ms")
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.process.wait(self.stop_ms / 1000)
+
     def end(self) -> None:
         """Kill the process if it still runs, and copy its log into the record."""
         if self.process.poll() is None:
@@ -304,15 +348,17 @@
 
 
 def encode_request(
-    request_class: str, request: str, body: bytes, arrived_s: float, wait_ms: int
+    request_class: str, request: str, body: bytes, arrived_s: float, wait_ms: int, key: str = ""
 ) -> bytes:
-    """Return a gateway's request, as bytes."""
+    """Return a gateway's request, as bytes; `key` marks the repeats of a uniqued request."""
     head = (
         f"POST /call/{request_class} HTTP/1.1\r\nHost: origin.svc\r\nTrace-Id: {request}\r\n"
         f"Accepted-At-Ms: {int(arrived_s * 1000)}\r\nClient-No: 1\r\nMax-Wait-Ms: {wait_ms}\r\n"
-        f"Reserve-Kb: 24.5\r\nStanding: 0.5000\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"Reserve-Kb: 24.5\r\nStanding: 0.5000\r\nContent-Length: {len(body)}\r\n"
     )
-    return head.encode() + body
+    if key:
+        head += f"Replay-Key: {key}\r\n"
+    return head.encode() + b"\r\n" + body
 
 
 def read_answer(file: BinaryIO) -> tuple[str, bytes, bool]:
@@ -334,6 +380,22 @@
     return words[1].decode(), body, ends
 
 
+def ask(port: int, data: bytes, timeout_s: float) -> tuple[str, bytes]:
+    """Send a request on a connection of its own; return the answer's status and body.
+
+    The status is "none" where the connection ended without a whole answer.
+    """
+    try:
+        with socket.create_connection(("127.0.0.1", port), 0.5) as link:
+            link.settimeout(timeout_s)
+            link.sendall(data)
+            with link.makefile("rb") as file:
+                status, body, _ = read_answer(file)
+                return status, body
+    except (OSError, ValueError):
+        return "none", b""
+
+
 def end_on_signal() -> None:
     """Have SIGTERM end the case through its `finally` blocks, which end all processes."""
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
