Review: after a restart a repeat that is read after its key's window runs again

A uniqued request must not run twice in its window, which counts from arrivals; the records that outlive a restart go by the time of reading.

The case of the drain is now review/8; the server with keys moved to review/standins_2.py.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # `build` command of deploy/balancer.toml has made.
 set -e
 cd "$(dirname "$0")/.."
-for file in review/standins_2.py review/6/case.py review/7/case.py; do
+for file in review/standins_2.py review/6/case.py review/7/case.py review/8/case.py; do
     .venv/bin/python -c "import sys; compile(open(sys.argv[1]).read(), sys.argv[1], 'exec')" "$file"
 done
 .venv/bin/python -c "import gullyoke.daemon.serve"
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -396,6 +396,72 @@
         return "none", b""
 
 
+class KeyedLife:
+    """A server with a store for keys, from one start to its end, and its engine.
+
+    The site is like qld-routing: map-change is uniqued, and a repeat may come within the window.
+
+    Attributes:
+        engine: The engine, which starts and ends with the server.
+        server: The process.
+    """
+
+    WINDOW_S = 11.163
+    WAIT_MS = 3700
+    STOP_MS = 2500
+
+    def __init__(self, record: Record, port: int, store: str) -> None:
+        """Start the server.
+
+        Args:
+            record: Gets a line for each request.
+            port: Where the server listens, the same after a restart.
+            store: The folder that outlives the server.
+        """
+        self._record = record
+        self.engine = Engine(record, 0.02)
+        peers = {"engine": self.engine.address, "naming": Registry().address}
+        site = settings(
+            Profiles=[
+                ("route", 1900, 4500, 1.0, "repeatable"),
+                ("map-change", 1100, 3700, 3.0, "by_key"),
+            ],
+            KeyTtlUs=int(self.WINDOW_S * 1e6),
+            Cores=2,
+            StopMode="discard",
+            CallsByClass=[False, False],
+            ClassSkipWorth=[0.0, 0.0],
+            DependsOn="off",
+        )
+        operator = f'store {{ folder: "{store}" quota_mb: 16 keys {{ without: SHED }} }}\n'
+        self.server = Server(record, peers, self.STOP_MS, site, port, operator)
+
+    def ask(
+        self, who: str, body: bytes, key: str, known: bool = True, unread_s: float = 0.0
+    ) -> tuple[str, bytes, bool]:
+        """Send a map-change; return the answer's status and body, and whether it was run.
+
+        Args:
+            who: Who sends it, for the record.
+            body: Its body.
+            key: Its key.
+            known: Whether the engine knows of it, since a gateway sent it.
+            unread_s: How long ago it reached the machine.
+        """
+        request = f"{random.getrandbits(64):016x}"
+        if known:
+            self.engine.known[request] = ("map-change", body)
+        arrived = time.time() - unread_s
+        data = encode_request("map-change", request, body, arrived, self.WAIT_MS, key)
+        status, answer = ask(self.server.port, data, self.WAIT_MS / 1000 + 1)
+        ran = request in self.engine.runs
+        self._record.note(
+            f"{who}: request {request} key {key} body {body!r} unread for {unread_s} s: "
+            f"{'ran' if ran else 'not run'}, answer {status} {answer!r}"
+        )
+        return status, answer, ran
+
+
 def end_on_signal() -> None:
     """Have SIGTERM end the case through its `finally` blocks, which end all processes."""
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
