Signals are received on a thread of their own, with the time of their arrival

A signal carries no time, and the main thread took one only as it handled it.

Change: SignalReceiver waits for the handled signals from before the imports on and keeps when each one arrived. The daemon takes them from it; one that is handled more than 20 ms after its arrival is logged ("signal handled late", age_ms). The drain still counts from its handling: behaviour is unchanged.

--- a/gullyoke/cli/main.py
+++ b/gullyoke/cli/main.py
@@ -16,7 +16,7 @@
 from gullyoke.cli.lab import lab
 from gullyoke.cli.say import exit_with_faults
 from gullyoke.cli.store import store
-from gullyoke.runtime import signals
+from gullyoke.runtime.signal_receiver import SignalReceiver
 
 FILE = click.Path(exists=True, dir_okay=False, readable=True)
 
@@ -50,13 +50,14 @@
       gullyoke serve --config config.json
       NODE_CONFIG=config.json gullyoke serve --operator deploy/scgi.textproto
     """
-    signals.block_signals()
+    receiver = SignalReceiver()
+    receiver.start()
     from gullyoke.daemon.serve import serve as run
 
     if config:
         os.environ["NODE_CONFIG"] = config
     if operator is None:
-        sys.exit(run())
+        sys.exit(run(receiver))
     from gullyoke.extensions.operator_file import OperatorFile
     from gullyoke.operator_config.wanted import OperatorFileError
 
@@ -69,7 +70,7 @@
         from gullyoke.extensions.json_log import JsonLogFormatter
 
         log_formatter = JsonLogFormatter()
-    sys.exit(run(operator_file, operator_file.replaces_engine(), log_formatter))
+    sys.exit(run(receiver, operator_file, operator_file.replaces_engine(), log_formatter))
 
 
 @main.command()
--- a/gullyoke/daemon/composition.py
+++ b/gullyoke/daemon/composition.py
@@ -28,6 +28,7 @@
 from gullyoke.runtime.lifecycle import Lifecycle
 from gullyoke.runtime.logs import start_logging
 from gullyoke.runtime.metrics import Metrics
+from gullyoke.runtime.signal_receiver import SignalReceiver
 from gullyoke.runtime.timer import Timer
 
 THREAD_STACK_BYTES: Final = 128 * 1024  # the deepest call path needs under 32 KiB
@@ -37,6 +38,7 @@
 
 def build_daemon(
     configuration: DaemonConfiguration,
+    signal_receiver: SignalReceiver,
     operator_file: OperatorConfiguration | None = None,
     log_formatter: logging.Formatter | None = None,
 ) -> Daemon:
@@ -44,6 +46,7 @@
 
     Args:
         configuration: the configuration of the daemon.
+        signal_receiver: receives the signals.
         operator_file: the operator's file; None if there is none.
         log_formatter: formats the lines of the log; None for key=value lines.
 
@@ -70,6 +73,7 @@
     clients = _addressed_clients(executor, database, service_discovery)
     return Daemon(
         configuration=configuration,
+        signal_receiver=signal_receiver,
         extensions=extensions,
         log_writer=log_writer,
         metrics=metrics,
--- a/gullyoke/daemon/daemon.py
+++ b/gullyoke/daemon/daemon.py
@@ -1,7 +1,7 @@
 """The daemon: start, signal handling and drain.
 
 Each part owns its state, its locks and its threads; the daemon starts and stops the parts. All
-methods except `sweep` run on the main thread, which waits for signals while other threads serve.
+methods except `sweep` run on the main thread, which handles signals while other threads serve.
 """
 
 from __future__ import annotations
@@ -24,11 +24,12 @@
 from gullyoke.executors import Executor
 from gullyoke.frontends.connection_limits import ConnectionLimits
 from gullyoke.frontends.connections import ConnectionTable
-from gullyoke.runtime import clock, signals
+from gullyoke.runtime import clock
 from gullyoke.runtime.dispatcher import Dispatcher
 from gullyoke.runtime.lifecycle import Lifecycle
 from gullyoke.runtime.logs import log, log_fields
 from gullyoke.runtime.metrics import Metrics
+from gullyoke.runtime.signal_receiver import STOP_SIGNALS, ReceivedSignal, SignalReceiver
 from gullyoke.runtime.timer import Timer
 
 SWEEP_INTERVAL_US: Final = 100_000
@@ -37,6 +38,7 @@
 #: How long before the stop the daemon no longer waits for connections to close.
 CLOSE_BEFORE_STOP_US: Final = 20_000
 CLOSE_POLL_S: Final = 0.005
+LATE_SIGNAL_US: Final = 20_000  # a signal that is handled later than this is logged
 
 
 @dataclass(eq=False)
@@ -45,6 +47,7 @@
 
     Attributes:
         configuration: the configuration in force; a reload replaces it.
+        signal_receiver: receives the signals.
         extensions: the extensions of the operator's file, in the order in which they are called.
         log_writer: the thread that writes the log.
         metrics: all counters.
@@ -61,6 +64,7 @@
     """
 
     configuration: DaemonConfiguration
+    signal_receiver: SignalReceiver
     extensions: Sequence[Extension]
     log_writer: QueueListener
     metrics: Metrics
@@ -83,7 +87,7 @@
         """
         self.start()
         gc.freeze()  # objects that exist now live until the end; later collections skip them
-        while self.handle_signal(signal.sigwait(signals.HANDLED)):
+        while (received := self.signal_receiver.wait()) is None or self.handle_signal(received):
             pass
         return self.drain()
 
@@ -112,18 +116,22 @@
         self.connections.sweep()
         self.database.close_idle()
 
-    def handle_signal(self, number: int) -> bool:
-        """Handle a signal.
+    def handle_signal(self, received: ReceivedSignal) -> bool:
+        """Handle a signal, and log it if the main thread was too busy to do so at once.
 
         Returns:
             False for a stop signal, which the caller has to handle.
         """
-        if number == signal.SIGUSR1:
-            self.log_counters("asked")
-        elif number == signal.SIGHUP:
+        age_us = received.age_us()
+        if age_us > LATE_SIGNAL_US:
+            name = signal.Signals(received.number).name
+            log.warning("signal handled late", extra=log_fields(signal=name, age_ms=age_us // 1000))
+        if received.number in STOP_SIGNALS:
+            return False
+        if received.number == signal.SIGHUP:
             self.apply_reload()
         else:
-            return False
+            self.log_counters("asked")
         return True
 
     def log_counters(self, reason: str) -> None:
@@ -171,10 +179,8 @@
         return 0
 
     def _handle_signals_until(self, end_us: int) -> None:
-        while (left_s := (end_us - clock.now()) / 1e6) > 0:
-            received = signal.sigtimedwait(signals.HANDLED, left_s)
-            if received is not None:
-                self.handle_signal(received.si_signo)
+        while (received := self.signal_receiver.wait(end_us)) is not None:
+            self.handle_signal(received)
 
     def _close_connections(self, end_us: int) -> None:
         self.connections.stop_accepting()
--- a/tests/crossing/live.py
+++ b/tests/crossing/live.py
@@ -23,6 +23,7 @@
 from gullyoke.daemon.composition import build_daemon
 from gullyoke.daemon.configuration import load_configuration
 from gullyoke.runtime.logs import log
+from gullyoke.runtime.signal_receiver import SignalReceiver
 
 REPEATS = int(os.environ.get("GULLYOKE_REPEATS", "100"))
 CHILD = "GULLYOKE_CHILD"
@@ -134,7 +135,8 @@
             mock.patch.object(composition, "start_logging", lambda *given: mock.Mock())
         )
         log.addHandler(logging.NullHandler())
-        self.daemon = build_daemon(load_configuration({"NODE_CONFIG": self.peers.config}))
+        configuration = load_configuration({"NODE_CONFIG": self.peers.config})
+        self.daemon = build_daemon(configuration, SignalReceiver())  # receives none in a test
         self.daemon.start()
         eventually(lambda: self.daemon.dispatcher.controller is not None, "the engine is up")
         self.engine, self.db, self.naming = self.peers.engine, self.peers.db, self.peers.naming
--- a/tests/crossing/test_signals.py
+++ b/tests/crossing/test_signals.py
@@ -28,31 +28,33 @@
 
 # By point: the hooked functions (module, owner, name) and the signal raised at each of their calls.
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
+WAIT = "gullyoke.runtime.signal_receiver", "SignalReceiver", "wait"
 POINTS = {
     "configuration": [("gullyoke.daemon.serve", None, "load_configuration", [TERM])],
     "put together": [("gullyoke.runtime.timer", "Timer", "__init__", [TERM])],
     "listening": [("gullyoke.frontends.connections", "ConnectionTable", "listen", [TERM])],
     "accepting": [("gullyoke.frontends.connections", "ConnectionTable", "start", [TERM])],
-    "before the wait": [("signal", None, "sigwait", [TERM])],
+    "receiving": [("signal", None, "sigwait", [TERM])],
+    "before the wait": [(*WAIT, [TERM])],
     "reload": [
-        ("signal", None, "sigwait", [HUP]),
+        (*WAIT, [HUP]),
         ("gullyoke.daemon.reload", None, "load_configuration", [TERM]),
     ],
     "two reloads": [
-        ("signal", None, "sigwait", [HUP]),
+        (*WAIT, [HUP]),
         ("gullyoke.daemon.reload", None, "load_configuration", [HUP, TERM]),
     ],
     "twice": [
-        ("signal", None, "sigwait", [TERM]),
+        (*WAIT, [TERM]),
         ("gullyoke.runtime.dispatcher", "Dispatcher", "begin_drain", [TERM]),
         ("gullyoke.frontends.connections", "ConnectionTable", "stop_accepting", [TERM]),
     ],
     "reload in the drain": [
-        ("signal", None, "sigwait", [TERM]),
+        (*WAIT, [TERM]),
         ("gullyoke.runtime.dispatcher", "Dispatcher", "begin_drain", [HUP]),
     ],
     "reload at the end": [
-        ("signal", None, "sigwait", [TERM]),
+        (*WAIT, [TERM]),
         ("gullyoke.frontends.connections", "ConnectionTable", "stop_accepting", [HUP, TERM]),
     ],
 }
