Grace and stop count from the arrival of SIGTERM, also in the start and in a reload

Cause: the main thread took the time of its asking for signals for the time of the notice.

Change: the drain counts from the arrival that SignalReceiver keeps. A notice of the start takes effect before the first connection is accepted. A thread waits for the notice alone and begins the drain at once, since a reload held up not only the time but the drain itself.

Tests: sockets/drain-start (the start waits 1 s for its configuration) and sockets/drain-busy (a reload that waits). On the code before: drain-start failed with a run of what arrived 1 s after the notice at a grace of 0.5 s, drain-busy never heard of the drain. Both pass now.

--- a/gullyoke/daemon/daemon.py
+++ b/gullyoke/daemon/daemon.py
@@ -1,13 +1,15 @@
 """The daemon: start, signal handling and drain.
 
 Each part owns its state, its locks and its threads; the daemon starts and stops the parts. All
-methods except `sweep` run on the main thread, which handles signals while other threads serve.
+methods except `sweep` and `begin_drain` run on the main thread, which handles signals while other
+threads serve.
 """
 
 from __future__ import annotations
 
 import gc
 import signal
+import threading
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -87,12 +89,18 @@
         """
         self.start()
         gc.freeze()  # objects that exist now live until the end; later collections skip them
-        while (received := self.signal_receiver.wait()) is None or self.handle_signal(received):
-            pass
-        return self.drain()
+        while True:
+            received = self.signal_receiver.wait()
+            if received is not None and not self.handle_signal(received):
+                return self.drain(received)
 
     def start(self) -> None:
-        """Start all threads and accept connections."""
+        """Start all threads and accept connections.
+
+        If the stop signal has arrived during the start, the drain begins before the first
+        connection is accepted.
+        """
+        threading.Thread(target=self._begin_drain_at_stop, name="drain", daemon=True).start()
         self.timer.start()
         self.dispatcher.background_work.start()
         for extension in self.extensions:
@@ -100,6 +108,9 @@
         self.executor.start(self.event_relay)
         self.database.start(self.event_relay)
         self.timer.call_at(clock.now() + SWEEP_INTERVAL_US, self.sweep)
+        stop = self.signal_receiver.first_stop()
+        if stop is not None:
+            self.begin_drain(stop)
         self.connections.start()
         if self.service_discovery is not None:
             self.service_discovery.start()
@@ -145,14 +156,31 @@
         self.configuration = self.reloader.reload(self.configuration)
         self.connection_limits.set_limit(max_connections(self.configuration, self.extensions))
 
-    def drain(self) -> int:
+    def begin_drain(self, stop: ReceivedSignal) -> None:
+        """Reject requests that arrive later than the grace, which counts from the stop signal.
+
+        May be called from any thread, and more than once.
+        """
+        self.lifecycle.ready = False  # before the engine is up, no controller does it
+        self.dispatcher.begin_drain(stop.received_at, self._stop_at_us(stop))
+
+    def _begin_drain_at_stop(self) -> None:
+        """Begin the drain at the stop signal, even if the main thread is busy with another one."""
+        self.begin_drain(self.signal_receiver.wait_for_stop())
+
+    def _stop_at_us(self, stop: ReceivedSignal) -> int:
+        return stop.received_at + self.configuration.stop_after_us
+
+    def drain(self, stop: ReceivedSignal) -> int:
         """Answer requests until shortly before the stop, then close all connections.
 
+        Args:
+            stop: the stop signal; grace and stop count from its arrival.
+
         Returns:
             The exit code of the process.
         """
-        notified_at_us = clock.now()
-        stop_at_us = notified_at_us + self.configuration.stop_after_us
+        stop_at_us = self._stop_at_us(stop)
         log.info(
             "draining",
             extra=log_fields(
@@ -160,8 +188,7 @@
                 in_flight=len(self.dispatcher.requests),
             ),
         )
-        self.lifecycle.ready = False  # before the engine is up, no controller does it
-        self.dispatcher.begin_drain(notified_at_us, stop_at_us)
+        self.begin_drain(stop)  # again: a reload before the signal may have changed the stop
         for extension in self.extensions:
             extension.begin_drain()
         self._handle_signals_until(stop_at_us - LAST_ACCEPT_BEFORE_STOP_US)
--- a/gullyoke/runtime/signal_receiver.py
+++ b/gullyoke/runtime/signal_receiver.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self._pending: dict[int, ReceivedSignal] = {}  # by number, in the order of arrival
+        self._first_stop: ReceivedSignal | None = None
         self._arrived = threading.Condition()
 
     def start(self) -> None:
@@ -68,10 +69,24 @@
                 self._arrived.wait(remaining_s)
             return self._pending.pop(next(iter(self._pending)))
 
+    def first_stop(self) -> ReceivedSignal | None:
+        """Return the first stop signal, also if it is no longer pending; None if there was none."""
+        with self._arrived:
+            return self._first_stop
+
+    def wait_for_stop(self) -> ReceivedSignal:
+        """Wait for the first stop signal and return it; it stays pending."""
+        with self._arrived:
+            while self._first_stop is None:
+                self._arrived.wait()
+            return self._first_stop
+
     def _receive_forever(self) -> None:
         while True:
             number = signal.sigwait(signals.HANDLED)
             received = ReceivedSignal(number, clock.now())
             with self._arrived:
                 self._pending.setdefault(number, received)
+                if number in STOP_SIGNALS and self._first_stop is None:
+                    self._first_stop = received
                 self._arrived.notify_all()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -331,6 +331,7 @@
         self.root, self.rest, self.latest, self.pooled, self.rows = ROOT, {}, {}, [], None
         self.given, self.gateways, self.process, self.lines, self.config = {}, {}, None, [], None
         self.firsts = {}  # by idempotency key, the name of the first attempt
+        self.held = False  # whether reading the configuration waits for `release`
 
     def close(self):
         for peer in (self.engine, self.db, self.naming, *self.backends.values()):
@@ -344,7 +345,8 @@
         self.folder.cleanup()
 
     def start(self):
-        self.configure_file()
+        if not self.held:
+            self.configure_file()
         files = int(self.given.get("files", 1024))
         serve = ["serve", "--operator", str(self.operator)]
         extra = [".cli", *serve] if self.wanted or self.rows else [""]
@@ -359,7 +361,14 @@
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files)),
         )
         threading.Thread(target=self.collect, args=(self.process,), daemon=True).start()
-        self.said("event=started")
+        if self.held:
+            self.eventually(self.blocks_sigterm, "SIGTERM blocked")
+        else:
+            self.said("event=started")
+
+    def blocks_sigterm(self):
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("SigBlk:")[2].split()[0], 16) >> (signal.SIGTERM - 1) & 1
 
     def configure_file(self):
         """Write the configuration file, which `close` deletes once the server was started."""
@@ -435,6 +444,9 @@
         if who == "disk":
             self.at_disk(*rest)
             return
+        if who == "hold":
+            self.hold()
+            return
         if self.process is None:
             self.start()
         if who.rstrip("<").isdigit() or (who.rstrip("<")[1:].isdigit() and who[0] in "su"):
@@ -565,6 +577,23 @@
             os.truncate(self.config, 100)
         self.process.send_signal(signal.SIGHUP)
 
+    def hold(self):
+        """Let the server wait in the start, or in a reload that begins now, for `release`.
+
+        Its configuration becomes a named pipe that nobody has written yet.
+        """
+        self.configure_file()
+        self.text = pathlib.Path(self.config).read_text()
+        os.unlink(self.config)
+        os.mkfifo(self.config)
+        self.held = True
+        if self.process:
+            self.process.send_signal(signal.SIGHUP)
+
+    def at_release(self):
+        pathlib.Path(self.config).write_text(self.text)
+        self.held = False
+
     def at_wait(self, ms):
         """Let a time pass, for scenarios about a time limit of the server."""
         time.sleep(int(ms) / 1000)
