--- a/gullyoke/codec/http.py
+++ b/gullyoke/codec/http.py
@@ -13,6 +13,7 @@
 from gullyoke.runtime.messages import Answer, BadRequestError, Message
 
 MAX_HEAD_BYTES: Final = 4096
+MAX_FIELDS: Final = 128  # header fields; many short ones take far more memory than their bytes
 MAX_BODY_BYTES: Final = 8192
 MAX_LENGTH_DIGITS: Final = 9
 MAX_MESSAGE_BYTES: Final = MAX_HEAD_BYTES + MAX_BODY_BYTES  # the maximum size of a message
@@ -68,6 +69,8 @@
 
 def _parse_fields(lines: list[str]) -> dict[str, str]:
     """Return the header fields of a message head; its first line is the start line."""
+    if len(lines) - 1 > MAX_FIELDS:
+        raise BadRequestError(431, f"{len(lines) - 1} header fields exceed {MAX_FIELDS}")
     fields: dict[str, str] = {}
     for line in lines[1:]:
         raw_name, colon, value = line.partition(":")
--- a/tests/codec/test_codecs.py
+++ b/tests/codec/test_codecs.py
@@ -29,6 +29,18 @@
 
 
 class Codecs(unittest.TestCase):
+    def test_many_header_fields(self):
+        """Guards against heads of very many short fields, which take far more memory than bytes."""
+        for count in (http.MAX_FIELDS, http.MAX_FIELDS + 1):
+            fields = "".join(f"a{i}:\r\n" for i in range(count))
+            buffer = buffer_of(f"GET /ping HTTP/1.1\r\n{fields}\r\n".encode())
+            if count <= http.MAX_FIELDS:
+                self.assertEqual(len(http.read(buffer).fields), count)
+                continue
+            with self.assertRaisesRegex(BadRequestError, f"{count} header fields") as refused:
+                http.read(buffer)
+            self.assertEqual(refused.exception.status, 431)
+
     @QUICK
     @given(FIELDS, st.binary(max_size=300), st.lists(st.integers(0, 2000), max_size=5))
     def test_requests(self, fields, body, cuts):
