What a client sent before it reset its connection is not run afterwards

Of 60 requests written in one go, the second ran after the client had closed; a request that lay unread when its client reset the connection ran too, kept connections, new ones and SCGI alike.

Cause: bytes that came before a reset can still be read after it, and nothing asked whether the connection stands before the request went to the decisions.

Change: Connection.begin_request polls the socket once. Half-closed clients get their answers as before.

--- a/gullyoke/frontends/connection.py
+++ b/gullyoke/frontends/connection.py
@@ -16,7 +16,7 @@
 from gullyoke.runtime import clock
 from gullyoke.runtime.close_reasons import CloseReason, ConnectionClosedError
 from gullyoke.runtime.pending_request import PendingRequest
-from gullyoke.runtime.sockets import discard_input, half_close, shutdown_both
+from gullyoke.runtime.sockets import discard_input, half_close, is_broken, shutdown_both
 
 if TYPE_CHECKING:
     from gullyoke.frontends.connections import ConnectionTable
@@ -96,10 +96,15 @@
     def begin_request(self, request: PendingRequest) -> None:
         """Enter the waiting state before the request of a complete message is submitted.
 
+        Guards against runs for a client that has left: what it had sent before can still be read.
+
         Raises:
-            ConnectionClosedError: The connection is closing; the request must not be run.
+            ConnectionClosedError: The connection is closing, or the client has reset it; the
+                request must not be run.
         """
         self._set_state(State.WAITING)
+        if is_broken(self.sock):
+            raise ConnectionClosedError(CloseReason.RESET, "reset before its request was begun")
         self.request = request
 
     def write_answer(self, data: bytes) -> None:
--- a/gullyoke/frontends/connection_sweep.py
+++ b/gullyoke/frontends/connection_sweep.py
@@ -10,6 +10,7 @@
 from gullyoke.runtime import clock
 from gullyoke.runtime.close_reasons import CloseReason
 from gullyoke.runtime.pending_request import PendingRequest
+from gullyoke.runtime.sockets import BROKEN_EVENTS
 
 if TYPE_CHECKING:
     from gullyoke.frontends.connections import ConnectionTable
@@ -17,7 +18,6 @@
 FIRST_MESSAGE_TIMEOUT_US: Final = 2_500_000  # from the accept to the complete first message
 STALL_TIMEOUT_US: Final = 5_000_000  # until a later message is complete, or an answer is written
 LINGER_TIMEOUT_US: Final = 300_000  # until the peer closes its side after this server's half-close
-HUNG_UP: Final = select.POLLERR | select.POLLHUP
 
 
 class ConnectionSweep:
@@ -71,7 +71,7 @@
                 by_descriptor[descriptor] = connection, connection.request
         for descriptor, flags in poller.poll(0):
             connection, request = by_descriptor[descriptor]
-            if not flags & HUNG_UP:
+            if not flags & BROKEN_EVENTS:
                 continue
             # Another connection may have the descriptor by now.
             if connection.sock.fileno() != descriptor:
--- a/gullyoke/runtime/sockets.py
+++ b/gullyoke/runtime/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import time
 from typing import Final
@@ -10,6 +11,8 @@
 from gullyoke.runtime import clock
 from gullyoke.runtime.close_reasons import CloseReason, ConnectionClosedError, close_reason_of
 
+#: What `poll` says of a connection that the peer has reset, or that both sides have closed.
+BROKEN_EVENTS: Final = select.POLLERR | select.POLLHUP
 DISCARD_TIMEOUT_S: Final = 0.5
 DISCARD_MAX_BYTES: Final = 2**18
 DISCARD_CHUNK_BYTES: Final = 65536
@@ -142,6 +145,16 @@
         return remaining
 
 
+def is_broken(sock: socket.socket) -> bool:
+    """Return whether the peer has reset the connection, so that nothing can be written to it.
+
+    Bytes that arrived before the reset may still be there to be read.
+    """
+    poller = select.poll()
+    poller.register(sock, 0)
+    return any(events & BROKEN_EVENTS for _, events in poller.poll(0))
+
+
 def shutdown_both(sock: socket.socket) -> None:
     """Shut down both directions, which wakes every thread that waits on the socket."""
     with contextlib.suppress(OSError):
