A request that has run does not run again when it comes again under its id

A request that came again under its id after its client had left and its run had ended ran a second time, 8 of 8, replayable and not, by HTTP and by SCGI.

Cause: an id was known only while its request was in flight, and a client that closes without a reset is not noticed, so its request ends like any other.

Repeats by key get their result as before; what was refused has not run and may come again.

--- a/gullyoke/frontends/request_parsing.py
+++ b/gullyoke/frontends/request_parsing.py
@@ -131,11 +131,11 @@
 
     def act() -> None:
         nonlocal conflict
+        _, request.duplicate_of = dispatcher.duplicates.find(request, dispatcher.now)
         conflict = conflict_with(dispatcher, request)
         if conflict is None:
             assert dispatcher.controller is not None
             dispatcher.requests[request.request_id] = request
-            _, request.duplicate_of = dispatcher.duplicates.find(request, dispatcher.now)
             dispatcher.controller.on_request(dispatcher.now, request)
 
     dispatcher.handle(act, request)
@@ -144,9 +144,16 @@
 
 
 def conflict_with(dispatcher: Dispatcher, request: PendingRequest) -> BadRequestError | None:
-    """Return the error if a request conflicts with one in flight or answered; None if not."""
+    """Return the error if a request conflicts with one in flight or answered; None if not.
+
+    A duplicate by its key never conflicts with a request that was run under its own id: it gets the
+    result of that run.
+    """
     if request.request_id in dispatcher.requests:
         return BadRequestError(409, f"a request with id {request.request_id} is in flight already")
+    was_run = dispatcher.recent_runs.contains(request.request_id, dispatcher.now)
+    if was_run and request.duplicate_of is None:
+        return BadRequestError(409, f"a request with id {request.request_id} was run already")
     if dispatcher.duplicates.conflicts(request):
         return BadRequestError(
             422, f"request {request.request_id} reuses the key of a request with another body"
--- a/gullyoke/runtime/dispatcher.py
+++ b/gullyoke/runtime/dispatcher.py
@@ -10,7 +10,14 @@
 
 from gullyoke.admission.class_pools import ClassPools
 from gullyoke.admission.controller import AdmissionController
-from gullyoke.admission.interface import FAIL, CommandExecutor, Gauges, RequestEvent, SiteFacts
+from gullyoke.admission.interface import (
+    FAIL,
+    CommandExecutor,
+    Gauges,
+    Reject,
+    RequestEvent,
+    SiteFacts,
+)
 from gullyoke.runtime import clock
 from gullyoke.runtime.background_worker import BackgroundWorker
 from gullyoke.runtime.duplicate_table import DuplicateTable
@@ -18,6 +25,7 @@
 from gullyoke.runtime.messages import Answer
 from gullyoke.runtime.metrics import Metrics
 from gullyoke.runtime.pending_request import Outcome, PendingRequest
+from gullyoke.runtime.recent_runs import RecentRuns
 
 OVERDUE_LOCK_TIMEOUT_S: Final = 0.02  # how long an overdue request waits for the lock
 MAX_PENDING_LOG_LINES: Final = 100
@@ -54,6 +62,7 @@
     Attributes:
         controller: The admission controller; None until `create_controller`.
         requests: The requests in flight by id; each is removed when it is finished.
+        recent_runs: The ids of the requests whose run has ended lately.
         duplicates: The duplicate table.
         background_work: Runs the controller's long computations.
         now: When the last call of the controller began, in microseconds of the clock.
@@ -82,6 +91,7 @@
         self.controller: AdmissionController | None = None
         self.executor: CommandExecutor | None = None
         self.requests: dict[str, PendingRequest] = {}
+        self.recent_runs = RecentRuns(max(each.timeout for each in facts.request_classes))
         if duplicates is None:
             duplicates = DuplicateTable(facts.fleet.read_cache_ttl)
         self.duplicates = duplicates
@@ -200,6 +210,8 @@
         if self.requests.get(request.request_id) is not request:
             return
         del self.requests[request.request_id]
+        if request.started_at and not isinstance(request.outcome, Reject):
+            self.recent_runs.add(request.request_id, self.now)
         self.answer(request, FAIL)
         if request.key_entry is not None:
             for waiter in self.duplicates.record_run_end(request, None, self.now):
--- a/tests/crossing/test_requests.py
+++ b/tests/crossing/test_requests.py
@@ -20,6 +20,7 @@
 from gullyoke.runtime import pending_request as pending_request_module
 from gullyoke.runtime.dispatcher import Dispatcher
 from gullyoke.runtime.duplicate_table import DuplicateTable
+from gullyoke.runtime.recent_runs import RecentRuns
 
 
 def answers(live):
@@ -309,6 +310,7 @@
         Replies carry only the request's id, so the copy can't be told from the next call's reply.
         """
         with Live() as live:
+            live.dispatcher.recent_runs = RecentRuns(0)  # each comes again after its id was dropped
             client = live.client()
             for i in range(REPEATS):
                 client.send("same", "pay")
