A new connection waits for room; what has brought no whole request is closed first

In each wave usual gateways' idle connections were closed and their new ones too, the request unanswered: 42 of 261 requests in 6 s. The log said nothing.

Cause: before half-written connections were overdue, room was made by closing the longest idle one, and a newcomer without room was accepted and closed. After a reload that lowers the limit nobody could make room at all.

A newcomer waits, held by the accepting thread, later ones in the listener's queue. ClassPools is imported only where a file asks for pools: the lean start's bound on code holds.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -34,7 +34,7 @@
 
 from gullyoke.experiments.usage import cpu
 
-GATEWAYS, PAUSE_S = 3, 0.05  # usual clients, and their pause between two requests
+GATEWAYS, PAUSE_S = 3, 0.05  # usual clients of each kind, and their pause between two requests
 RESENT_WITHIN_S = 0.05  # a request that crosses a close is sent again within this time
 RUN_S = 0.02
 CORES = 6
@@ -110,18 +110,19 @@
     return half_written(number, scgi) + b"x" * (BODY // 2)
 
 
-def short_fields(number: int, scgi: bool, ended: bool = False, most: int = 1000) -> bytes:
-    """Return a head of very many short fields; if `ended`, a whole request of `most` at most."""
+def short_fields(number: int, scgi: bool, ended: bool = False, fields: int = 720) -> bytes:
+    """Return a head of very many short fields; if `ended`, a whole request that is sound."""
     if scgi:
         return many_headers(number, ended)
     given = message(fresh_name(number), "view", length=str(BODY)).partition(b"\r\n\r\n")[0]
+    extra = "".join(f"\r\n{field_name(i)}:" for i in range(fields)).encode()
+    return given + extra + (b"\r\n\r\n" + b"x" * BODY if ended else b"")
+
+
+def field_name(number: int) -> str:
+    """Return a name of two characters, another one for each number under 1,296."""
     alphabet = "abcdefghijklmnopqrstuvwxyz0123456789"
-    names = ("".join(pair) for pair in itertools.product(alphabet, repeat=2))
-    if ended:
-        room = 4096 - len(given) - 8
-        extra = "".join(f"\r\n{name}:" for name in itertools.islice(names, min(most, room // 5)))
-        return given + extra.encode() + b"\r\n\r\n" + b"x" * BODY
-    return given + "".join(f"\r\n{name}:" for name in itertools.islice(names, 720)).encode()
+    return alphabet[number // 36 % 36] + alphabet[number % 36]
 
 
 def many_headers(number: int, ended: bool) -> bytes:
@@ -138,9 +139,10 @@
 FORMS: dict[str, Callable[[int, bool], bytes]] = {
     "half": half_written,
     "drip": dripped,
+    "long-head": lambda number, scgi: short_fields(number, scgi, fields=2000),
     "fields": short_fields,
     "whole-fields": lambda number, scgi: short_fields(number, scgi, ended=True),
-    "allowed-fields": lambda number, scgi: short_fields(number, scgi, ended=True, most=110),
+    "allowed-fields": lambda number, scgi: short_fields(number, scgi, ended=True, fields=110),
 }
 
 
@@ -162,6 +164,8 @@
         self.selector = selectors.DefaultSelector()
         self.unsent: dict[socket.socket, memoryview] = {}
         self.opened = self.closed = 0
+        self.opened_at: dict[socket.socket, float] = {}
+        self.slowest_s = 0.0  # from connecting to the first answer or the close
         self.statuses: Counter[str] = Counter()
 
     def play(self, seconds: float) -> None:
@@ -187,6 +191,7 @@
                 sock.connect(self.address)
             data = FORMS[self.form](next(self.numbers), self.scgi)
             self.unsent[sock] = memoryview(data)
+            self.opened_at[sock] = time.monotonic()
             self.selector.register(sock, selectors.EVENT_READ)
             self.opened += 1
 
@@ -209,6 +214,8 @@
             for key, _ in self.selector.select(left):
                 sock = key.fileobj
                 assert isinstance(sock, socket.socket)
+                if (began := self.opened_at.pop(sock, None)) is not None:
+                    self.slowest_s = max(self.slowest_s, time.monotonic() - began)
                 try:
                     data = sock.recv(65536)
                 except OSError:
@@ -223,6 +230,7 @@
         """Close a connection."""
         self.selector.unregister(sock)
         del self.unsent[sock]
+        self.opened_at.pop(sock, None)
         sock.close()
 
     def end_all(self) -> None:
@@ -235,7 +243,14 @@
     """Play a crowd in a process of its own, and report what it saw."""
     crowd = Crowd(*given)
     crowd.play(seconds)
-    results.put({"opened": crowd.opened, "closed": crowd.closed, "told": dict(crowd.statuses)})
+    results.put(
+        {
+            "opened": crowd.opened,
+            "closed": crowd.closed,
+            "told": dict(crowd.statuses),
+            "slowest_s": round(crowd.slowest_s, 3),
+        }
+    )
 
 
 # Floods on one connection.
@@ -343,14 +358,17 @@
 
 
 class Gateway(threading.Thread):
-    """A usual client with one kept connection and one request at a time.
+    """A usual client with one request at a time, on a kept connection or on a new one each.
 
     A request whose connection ends without an answer is sent again, once, on a new connection.
     """
 
-    def __init__(self, number: int, address: Address, until: float, scgi: bool) -> None:
+    def __init__(
+        self, number: int, address: Address, until: float, scgi: bool, kept: bool = True
+    ) -> None:
         super().__init__(daemon=True)
         self.number, self.address, self.until, self.scgi = number, address, until, scgi
+        self.kept = kept and not scgi
         self.waits: list[float] = []
         self.statuses: Counter[str] = Counter()
         self.resent = self.unanswered = 0
@@ -373,6 +391,7 @@
                 self.statuses[status] += 1
                 self.waits.append(time.monotonic() - began)
             time.sleep(PAUSE_S)
+        self.close()
 
     def ask(self, name: str) -> str | None:
         """Send one request; return its status, or None if the connection ended without one."""
@@ -391,7 +410,7 @@
         except OSError:
             self.close()
             return None
-        if self.scgi:
+        if not self.kept:
             self.close()
         return status
 
@@ -436,7 +455,8 @@
     spent = cpu(scene.process.pid)
     hostile = context.Process(target=target, args=(seconds, results, address, *given))
     hostile.start()
-    gateways = [Gateway(n, address, time.monotonic() + seconds, scgi) for n in range(GATEWAYS)]
+    until = time.monotonic() + seconds
+    gateways = [Gateway(n, address, until, scgi, kept=n % 2 == 0) for n in range(2 * GATEWAYS)]
     for gateway in gateways:
         gateway.start()
     for gateway in gateways:
--- a/gullyoke/admission/controller.py
+++ b/gullyoke/admission/controller.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 import math
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from gullyoke.admission.class_pools import ClassPools
 from gullyoke.admission.concurrency_limiter import ConcurrencyLimiter
 from gullyoke.admission.interface import (
     CommandExecutor,
@@ -25,6 +24,9 @@
 from gullyoke.admission.server_state import ServerState
 from gullyoke.admission.timing import RUN_TIMES_PER_OBJECTIVE, TICK_US, full_value_deadline
 
+if TYPE_CHECKING:
+    from gullyoke.admission.class_pools import ClassPools
+
 TICKS_PER_LOG_LINE: Final = 100
 BUSY_SHARE: Final = 0.9
 """Busy share of the cores above which the threshold binds."""
--- a/gullyoke/admission/server_state.py
+++ b/gullyoke/admission/server_state.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from gullyoke.admission.class_pools import ClassPools
 from gullyoke.admission.client_feedback import ClientFeedback
 from gullyoke.admission.dependency_limiter import DependencyLimiter
 from gullyoke.admission.fair_queue import FairQueue
@@ -26,6 +25,9 @@
 from gullyoke.admission.safety_limits import SafetyLimits
 from gullyoke.admission.tenant_quotas import TokenBucket
 
+if TYPE_CHECKING:
+    from gullyoke.admission.class_pools import ClassPools
+
 OPEN: Final = (QUEUED, RUNNING, CALLING_DEPENDENCY)
 """States in which a request is in a table of the controller."""
 COUNTED: Final = (QUEUED, RUNNING)
--- a/gullyoke/frontends/connection.py
+++ b/gullyoke/frontends/connection.py
@@ -92,6 +92,8 @@
         except ConnectionClosedError:
             self.table.metrics.increment("messages.crossed")
             raise
+        if self.answered:
+            self.table.resumed[self] = None
 
     def begin_request(self, request: PendingRequest) -> None:
         """Enter the waiting state before the request of a complete message is submitted.
@@ -103,6 +105,7 @@
                 request must not be run.
         """
         self._set_state(State.WAITING)
+        self.table.resumed.pop(self, None)
         if is_broken(self.sock):
             raise ConnectionClosedError(CloseReason.RESET, "reset before its request was begun")
         self.request = request
@@ -115,6 +118,7 @@
             OSError: The connection failed.
         """
         self._set_state(State.WRITING)
+        self.table.resumed.pop(self, None)
         self.sock.sendall(data)
         self.request = None
         self.answered = True
@@ -160,6 +164,26 @@
             half_close(self.sock)
             return True
 
+    def abort_if_quiet(self, reason: CloseReason, state: State, since: int) -> bool:
+        """Shut down both directions if the connection is in a state and nothing is unread on it.
+
+        Unread bytes wait for the owning thread, so the delay may be this server's.
+
+        Args:
+            reason: Why it is closed.
+            state: The state in which it may be closed.
+            since: As for `abort`.
+
+        Returns:
+            Whether it was shut down.
+        """
+        with self.lock:
+            if self.state is not state or self.state_since != since or self._readable():
+                return False
+            self._begin_close(reason)
+            shutdown_both(self.sock)
+            return True
+
     def abort(self, reason: CloseReason, states: Collection[State], since: int) -> bool:
         """Shut down both directions if the connection is still in a given state.
 
@@ -185,6 +209,7 @@
         self.close_reason = reason
         self.state_since = clock.now()
         self.table.idle.pop(self, None)
+        self.table.resumed.pop(self, None)
 
     def _readable(self) -> bool:
         """Return whether there are unread bytes, or the connection has ended."""
--- a/gullyoke/frontends/connection_limits.py
+++ b/gullyoke/frontends/connection_limits.py
@@ -46,6 +46,8 @@
             newcomer: The listener of the new connection.
             counts: The number of connections of each listener, including the new one.
         """
+        if len(counts) == 1:
+            return counts[newcomer] <= self.max_connections
         others = sum(
             max(count, self.reserved)
             for listener, count in counts.items()
--- a/gullyoke/frontends/connections.py
+++ b/gullyoke/frontends/connections.py
@@ -12,6 +12,7 @@
 from gullyoke.frontends.connection_sweep import ConnectionSweep
 from gullyoke.frontends.eviction import MAX_CLOSING, Evictor
 from gullyoke.frontends.listener import Frontend, Listener
+from gullyoke.runtime import clock
 from gullyoke.runtime.close_reasons import (
     CloseReason,
     PeerKind,
@@ -26,7 +27,11 @@
 from gullyoke.runtime.sockets import Receiver
 from gullyoke.runtime.worker_pool import WorkerPool
 
-DESCRIPTOR_POLL_S: Final = 0.1  # interval between checks for a free descriptor
+ROOM_POLL_S: Final = 0.02  # interval between checks for connections that have become overdue
+#: For how long after a wait for room other new connections may have waited behind it, unaccepted,
+#: and how long they are taken to have waited.
+WAIT_AFTERMATH_US: Final = 1_000_000
+ASSUMED_WAIT_US: Final = 500_000
 LOGGED_REASONS: Final = frozenset({CloseReason.GARBLED, CloseReason.STALLED, CloseReason.CUT})
 
 
@@ -45,6 +50,7 @@
     Attributes:
         open: The connections that hold a descriptor.
         unanswered: The connections without an answer so far, oldest first.
+        resumed: The connections that were answered and have begun another message.
         idle: The connections that were answered and await a message, longest idle first.
         closing: The connections that this server is closing and the peer has not closed yet.
         listeners: The listeners that accept connections.
@@ -63,6 +69,7 @@
         self.metrics = metrics
         self.open: dict[Connection, None] = {}
         self.unanswered: dict[Connection, None] = {}
+        self.resumed: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}
         self.closing: dict[Connection, None] = {}
         self.listeners: list[Listener] = []
@@ -96,38 +103,63 @@
 
     # Called by the accepting threads.
 
-    def wait_for_descriptor(self) -> None:
-        """Wait while closing connections hold more descriptors than are reserved for them.
+    def add(self, sock: socket.socket, listener: Listener) -> None:
+        """Serve an accepted connection as soon as the limit leaves a place for it.
 
-        Guards against new connections that arrive faster than the connections evicted for them
-        close. New and closing connections together would use up the descriptors that the engine,
-        the database and the service registry need.
+        Until then later connections wait in the listener's queue. At the end of the drain nothing
+        waits any more: a connection without a place is closed.
         """
-        with self.descriptor_freed:
-            while (
-                len(self.open) >= self.limits.max_connections + MAX_CLOSING
-                and not self.lifecycle.closing
-            ):
-                self.descriptor_freed.wait(DESCRIPTOR_POLL_S)
+        began_at = clock.now()
+        if not self._add_if_room(sock, listener):
+            self.metrics.increment("connections.waited")
+            listener.waited_until = began_at
+            while not self._add_if_room(sock, listener):
+                with self.descriptor_freed:
+                    self.descriptor_freed.wait(ROOM_POLL_S)
+                listener.waited_until = clock.now()
+            log.warning(
+                "connection waited for room",
+                extra=log_fields(
+                    front=listener.frontend.name,
+                    wait_ms=(listener.waited_until - began_at) // 1000,
+                ),
+            )
 
-    def add(self, sock: socket.socket, listener: Listener) -> None:
-        """Serve an accepted connection, or close it if the limit leaves no place for it."""
+    def _add_if_room(self, sock: socket.socket, listener: Listener) -> bool:
+        """Serve an accepted connection; return False if it has to wait.
+
+        Closing connections hold descriptors too. New and closing ones together must not use up the
+        descriptors that the engine, the database and the service registry need.
+        """
         with self.add_lock:
-            connection = Connection(sock, listener, self)
-            self.metrics.increment("connections.opened")
-            self.open[connection] = None
-            self.unanswered[connection] = None
-            listener.connections[connection] = None
+            has_room = (
+                self._evictor.make_room(listener)
+                and len(self.open) < self.limits.max_connections + MAX_CLOSING
+            )
+            if not (has_room or self.lifecycle.closing):
+                return False
+            connection = self._register(sock, listener)
             try:
                 if sock.family != socket.AF_UNIX:
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                if self._evictor.evict_if_full(listener):
+                if has_room:
                     self._assign(connection)
                 else:
                     self._close(connection, CloseReason.CROWDED, "")
             except (OSError, RuntimeError) as error:  # closed already, or no thread can be started
                 log.warning("accepted connection is not served", extra=log_fields(why=error))
                 self._close(connection, CloseReason.FAULT, str(error))
+            return True
+
+    def _register(self, sock: socket.socket, listener: Listener) -> Connection:
+        connection = Connection(sock, listener, self)
+        if connection.opened_at - listener.waited_until < WAIT_AFTERMATH_US:
+            connection.opened_at -= ASSUMED_WAIT_US
+        self.metrics.increment("connections.opened")
+        self.open[connection] = None
+        self.unanswered[connection] = None
+        listener.connections[connection] = None
+        return connection
 
     def _assign(self, connection: Connection) -> None:
         """Assign a connection to an idle worker, or to a new one if none is idle."""
@@ -175,6 +207,7 @@
         if connection.request is not None and event is not None:
             self.dispatcher.notify(connection.request, event)
         self.unanswered.pop(connection, None)
+        self.resumed.pop(connection, None)
         self.idle.pop(connection, None)
         try:
             # May take a while; until then the connection counts towards the limit.
--- a/gullyoke/frontends/listener.py
+++ b/gullyoke/frontends/listener.py
@@ -48,6 +48,8 @@
     Attributes:
         sock: The listening socket; the accepting thread owns it and closes it after `stop`.
         stopped: Whether the accepting thread has to end.
+        waited_until: When an accepted connection last had to wait for room, in microseconds of the
+            clock; 0 before that.
         connections: The connections that count towards the limit; a connection is removed when the
             server decides to close it.
     """
@@ -59,6 +61,7 @@
         self.table = table
         self.sock = open_listening_socket(address)
         self.stopped = False
+        self.waited_until = 0
         self.connections: dict[Connection, None] = {}
 
     def start(self) -> None:
@@ -71,7 +74,6 @@
         The socket is not closed earlier, since that resets the connections in the backlog.
         """
         while not self.stopped:
-            self.table.wait_for_descriptor()
             try:
                 sock, _ = self.sock.accept()
             except OSError as error:
--- a/gullyoke/runtime/dispatcher.py
+++ b/gullyoke/runtime/dispatcher.py
@@ -6,9 +6,8 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import Final, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
-from gullyoke.admission.class_pools import ClassPools
 from gullyoke.admission.controller import AdmissionController
 from gullyoke.admission.interface import (
     FAIL,
@@ -27,6 +26,9 @@
 from gullyoke.runtime.pending_request import Outcome, PendingRequest
 from gullyoke.runtime.recent_runs import RecentRuns
 
+if TYPE_CHECKING:
+    from gullyoke.admission.class_pools import ClassPools
+
 OVERDUE_LOCK_TIMEOUT_S: Final = 0.02  # how long an overdue request waits for the lock
 MAX_PENDING_LOG_LINES: Final = 100
 
@@ -134,6 +136,8 @@
     def _create_class_pools(self, started_at: int) -> ClassPools | None:
         if self._class_pools is None:
             return None
+        from gullyoke.admission.class_pools import ClassPools  # only some operator's files need it
+
         minimum, classes = self._class_pools
         pool_of = {each: classes.get(each.name, each) for each in self.facts.request_classes}
         return ClassPools(started_at, self.facts.machine.cores, pool_of, minimum)
