A key's record tells two bodies apart after a restart

Cause: the body's hash lives in the process alone; the record had nothing of the body.

Change: a record carries a 16-byte BLAKE2b of the body, keyed with the idempotency key, which is not stored. The same digest: the result. Another: 422. None (records of the release before): failed, since a run may be the second and the result another's. Records that can't be read are counted and logged.

Tests: durability/other-body (SIGKILL and SIGTERM; answered 200 before), durability/records-before (answered 200 before), test_note_store for the bytes; recorded folders are read and written unchanged.

--- a/gullyoke/durability/key_ledger.py
+++ b/gullyoke/durability/key_ledger.py
@@ -66,6 +66,7 @@
         deadline_us: int,
         run_us: float,
         disk_accepts: bool,
+        body_digest: bytes = b"",
     ) -> RecordWrite | LedgerAction:
         """Record a request that is about to run.
 
@@ -77,13 +78,20 @@
             deadline_us: The time by which the request must be answered.
             run_us: How long the request's run usually takes.
             disk_accepts: Whether the disk accepts writes that requests wait for.
+            body_digest: A digest of the request's body.
 
         Returns:
             The write to wait for, or an action to take at once.
         """
         if self.find(now_us, key) is not None:
             return LedgerAction(ActionKind.REPORT_DUPLICATE, key)
-        record = KeyRecord(RunPhase.STARTED, self.incarnation, arrived_us, window_end_us)
+        record = KeyRecord(
+            RunPhase.STARTED,
+            self.incarnation,
+            arrived_us,
+            window_end_us,
+            body_digest=body_digest,
+        )
         if (
             not disk_accepts
             or not self.fits(record.memory_bytes())
--- a/gullyoke/durability/key_record.py
+++ b/gullyoke/durability/key_record.py
@@ -34,6 +34,8 @@
         status: The status of the answer; 0 if the answer is not known.
         fields: The header fields of the answer.
         body: The body of the answer.
+        body_digest: A one-way digest of the request's body; empty in records that were stored
+            without it.
     """
 
     phase: RunPhase
@@ -43,10 +45,11 @@
     status: int = 0
     fields: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    body_digest: bytes = b""
 
     def memory_bytes(self) -> int:
         """Return the approximate size of the record in memory; on the disk it is smaller."""
-        size_bytes = RECORD_MEMORY_BYTES + len(self.body)
+        size_bytes = RECORD_MEMORY_BYTES + len(self.body) + len(self.body_digest)
         for name, value in self.fields:
             size_bytes += len(name) + len(value) + FIELD_MEMORY_BYTES
         return size_bytes
--- a/gullyoke/extensions/durable_executor.py
+++ b/gullyoke/extensions/durable_executor.py
@@ -31,10 +31,14 @@
 from gullyoke.runtime.pending_request import PendingRequest
 
 RECORD_KEY_PREFIX = "n"  # the first character of the key of each record
+BODY_DIGEST_BYTES = 16
 END_EVENTS = (RequestEvent.COMPLETED, RequestEvent.FAILED, RequestEvent.CANCELLED)
 
 encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(
+_decode_record = msgspec.msgpack.Decoder(
+    tuple[int, int, int, int, int, tuple[tuple[str, str], ...], bytes, bytes]
+).decode
+_decode_record_without_digest = msgspec.msgpack.Decoder(
     tuple[int, int, int, int, int, tuple[tuple[str, str], ...], bytes]
 ).decode
 
@@ -48,18 +52,32 @@
     )
 
 
+def body_digest(key: str, body: bytes) -> bytes:
+    """Return what tells the body of a request apart from others under the same idempotency key.
+
+    The digest is keyed with the idempotency key, which is not stored: whoever reads the store can't
+    even try out bodies.
+    """
+    secret = blake2b(key.encode()).digest()
+    return blake2b(body, digest_size=BODY_DIGEST_BYTES, key=secret).digest()
+
+
 def pack_key_record(record: KeyRecord | None) -> bytes | None:
     """Return a record in its stored form; for None, return None, which removes the record."""
-    return None if record is None else encode(tuple(record))
+    if record is None:
+        return None
+    return encode(tuple(record) if record.body_digest else tuple(record)[:-1])
 
 
 def unpack_key_record(data: bytes) -> KeyRecord | None:
-    """Return a stored record; None if the data is invalid."""
-    try:
-        phase, *rest = _decode(data)
-        return KeyRecord(RunPhase(phase), *rest)
-    except (msgspec.MsgspecError, ValueError):
-        return None
+    """Return a stored record, with or without a body digest; None if the data is invalid."""
+    for decode in (_decode_record, _decode_record_without_digest):
+        try:
+            phase, *rest = decode(data)
+            return KeyRecord(RunPhase(phase), *rest)
+        except (msgspec.MsgspecError, ValueError):
+            continue
+    return None
 
 
 def needs_record(request: PendingRequest) -> bool:
@@ -153,6 +171,7 @@
                 request.deadline,
                 self._dispatcher.controller.queue.run_times[keyed_class],
                 disk_ok,
+                body_digest(request.key, request.message.body),
             )
 
         action = self.call_ledger(begin_run)
--- a/gullyoke/extensions/keys.py
+++ b/gullyoke/extensions/keys.py
@@ -41,7 +41,9 @@
 from gullyoke.extensions.durable_executor import (
     RECORD_KEY_PREFIX,
     DurableExecutor,
+    body_digest,
     encode,
+    needs_record,
     pack_key_record,
     record_key,
     unpack_key_record,
@@ -91,25 +93,44 @@
         super().__init__(fresh_for)
         self.find_record, self.doubts_retries = find_record, doubts_retries
 
+    def conflicts(self, request: PendingRequest) -> bool:
+        """Return whether a keyed request has another body than the first one with its key."""
+        if self.live_entry(request) is not None:
+            return super().conflicts(request)
+        if request.request_class.idempotency is not Idempotency.KEYED:
+            return False
+        record = self._stored_record(request)
+        return (
+            record is not None and bool(record.body_digest) and not _has_same_body(record, request)
+        )
+
     def find(self, request: PendingRequest, now: int):
-        """Find what a request is a duplicate of, in memory or among the records."""
+        """Find what a request is a duplicate of, in memory or among the records.
+
+        A request gets the result of a record only if its body is known to be the same.
+        """
         entry, prior = super().find(request, now)
-        if (
-            entry is not None
-            or not request.key
-            or request.request_class.idempotency is Idempotency.IDEMPOTENT
-        ):
+        if entry is not None or not needs_record(request):
             return entry, prior
-        record = self.find_record(now, record_key(request.request_class.name, request.key))
+        record = self._stored_record(request)
         if record is not None:
             entry = KeyEntry(None, record.window_end_us)
-            if record.phase is RunPhase.ENDED and record.status:
+            has_result = record.phase is RunPhase.ENDED and record.status
+            if has_result and _has_same_body(record, request):
                 entry.result = Answer(record.status, record.body, record.fields)
             return entry, REMEMBERED_REQUEST
         if request.is_retry and self.doubts_retries(now):
             return KeyEntry(None, now), REMEMBERED_REQUEST
         return None, None
 
+    def _stored_record(self, request: PendingRequest) -> KeyRecord | None:
+        return self.find_record(clock.now(), record_key(request.request_class.name, request.key))
+
+
+def _has_same_body(record: KeyRecord, request: PendingRequest) -> bool:
+    """Return whether a request is known to have the body of the recorded one."""
+    return record.body_digest == body_digest(request.key, request.message.body)
+
 
 class Keys(BaseExtension):
     """Keeps the records of keys in the folder of the operator's file.
@@ -200,17 +221,18 @@
 
         At the start there are no present records; after the folder was lost there may be many.
         """
-        now, stored, mark = clock.now(), [], None
+        now, stored, mark, skipped = clock.now(), [], None, 0
         try:
             store = self.open_store()
             for key, value in store.items():
                 if key == MARK_KEY:
                     mark = FolderMark(*decode_mark(value))
-                elif (
-                    key.startswith(RECORD_KEY_PREFIX)
-                    and (key_record := unpack_key_record(value)) is not None
-                ):
-                    stored.append((key, key_record))
+                elif key.startswith(RECORD_KEY_PREFIX):
+                    key_record = unpack_key_record(value)
+                    if key_record is None:
+                        skipped += 1
+                    else:
+                        stored.append((key, key_record))
         except (OSError, ValueError, msgspec.MsgspecError) as failure:
             self.daemon.metrics.increment("keys.unread")
             log.error(
@@ -225,6 +247,16 @@
             self.must_reopen = not isinstance(failure, StoreVersionError)
             self.ready.set()
             return
+        if skipped:
+            self.daemon.metrics.increment("keys.skipped", skipped)
+            log.error(
+                "key records skipped",
+                extra=log_fields(
+                    folder=self.kept.folder,
+                    records=skipped,
+                    why="damaged, or of a later release",
+                ),
+            )
         trust = assess_folder(mark, len(stored), self.daemon.configuration.name, 0, now)
         with self.durable_executor.lock:
             rows = [(key, pack_key_record(row.record)) for key, row in self.ledger.rows.items()]
--- a/tests/compatibility/test_note_store.py
+++ b/tests/compatibility/test_note_store.py
@@ -15,6 +15,7 @@
 from gullyoke.durability.key_record import DuplicateVerdict, judge_record
 from gullyoke.extensions.durable_executor import (
     RECORD_KEY_PREFIX,
+    body_digest,
     encode,
     pack_key_record,
     record_key,
@@ -123,6 +124,28 @@
             self.assertEqual(found, LocatedRecord(record, 0, len(data) // 2))
         self.assertEqual(segment_header().hex(), "f5676c7905000000031fc3b3099302a0c400")
 
+    def test_body_digest(self):
+        """The digest, and the bytes of a record with it: the last of eight values."""
+        digest = body_digest("order-77", b"two boxes")
+        self.assertEqual(digest.hex(), "af56a5289d468d83e27999616dcaa7a7")
+        data = pack_key_record(RUNNING_RECORD._replace(body_digest=digest))
+        self.assertEqual(
+            data.hex(),
+            "9801ce6553f0f6cf00060a24181e2c78cf00060a243be186000090c400c410af56a5289d468d83e27999616dcaa7a7",
+        )
+        self.assertEqual(unpack_key_record(data).body_digest, digest)
+        self.assertEqual(len(data) - len(pack_key_record(RUNNING_RECORD)), 18)
+        self.assertNotEqual(body_digest("order-77", b"two boxes "), digest)
+        self.assertNotEqual(body_digest("order-78", b"two boxes"), digest)
+
+    def test_records_of_other_forms(self):
+        """A record of the last landing has no digest; one of another length is not taken."""
+        without = encode(tuple(ENDED_RECORD)[:-1])
+        self.assertEqual(unpack_key_record(without), ENDED_RECORD)
+        self.assertEqual(unpack_key_record(without).body_digest, b"")
+        self.assertIsNone(unpack_key_record(encode((*ENDED_RECORD, b"more"))))
+        self.assertIsNone(unpack_key_record(without[:-1]))
+
     def test_recorded_folder_is_read(self):
         """The recorded folder gives the same keys and values."""
         store = self.opened()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -623,6 +623,8 @@
             store.mkdir()
         elif words[0] == "limit":  # largest file in bytes that the system allows
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (int(words[1]), -1))
+        elif words[0] == "records":  # all without a body digest, or two more that can't be read
+            self.change_records(store, words[1])
         elif words[0] == "mark":  # a store of another server's name or of a later format
             from gullyoke.storage import StorageFolder, Store
 
@@ -632,6 +634,19 @@
         else:
             pathlib.Path(self.folder.name, "faults").write_text(" ".join(words))
 
+    @staticmethod
+    def change_records(store, how):
+        from gullyoke.storage import StorageFolder, Store
+
+        files = StorageFolder(store / "keys")
+        keys = Store(files)
+        if how == "undigested":
+            rows = [(k, msgspec.msgpack.decode(v)) for k, v in keys.items() if k[0] == "n"]
+            keys.put([(key, msgspec.msgpack.encode(values[:7])) for key, values in rows])
+        else:
+            keys.put([("nspoilt", b"\xc1"), ("nlater", msgspec.msgpack.encode([2] * 9))])
+        files.close()
+
     def at_log(self, *words):
         self.said(" ".join(words))
 
