A key's window ends by the arrival of a repeat, also after a restart

Cause: records were judged, expired and recovered by the time of the reading; the table in memory goes by the arrival, but is empty after a restart.

Change: records are judged by the arrival and stay for the longest client timeout of the uniqued and non-replayable classes beyond their window, counted against the quota. A non-replayable request that may have run is failed at once; it was queued like a new one and could be refused meanwhile.

--- a/gullyoke/admission/request_path.py
+++ b/gullyoke/admission/request_path.py
@@ -82,6 +82,9 @@
         if request.duplicate_of and (is_keyed or (cache_ttl and _has_begun(request.duplicate_of))):
             yield from self._answer_from_duplicate(request)
             return
+        if request.duplicate_of and not is_idempotent:
+            yield FAIL  # the first request may have run, and rejecting this one would deny it
+            return
         rejection = self.arrivals.accept_or_reject(request)
         if rejection is not None:
             yield rejection
--- a/gullyoke/durability/key_ledger.py
+++ b/gullyoke/durability/key_ledger.py
@@ -32,8 +32,8 @@
 class KeyLedger(RecordTable):
     """The table of requests with keys, and the writes of their records.
 
-    A row is removed when its window is over (`expire`), or when its request was abandoned and the
-    removal of its record is durable.
+    A row is removed when no duplicate needs it any more (`expire`), or when its request was
+    abandoned and the removal of its record is durable.
 
     Attributes:
         writes_in_flight: The keys of the writes in flight, by write number, oldest first.
@@ -45,10 +45,17 @@
         incarnation: The number of this server start.
         policy: What to do with requests whose record the disk can't make durable in time.
         max_bytes: The most memory that records and results may take.
+        max_unread_us: How long after its arrival a duplicate may be read.
     """
 
-    def __init__(self, incarnation: int, policy: UndurablePolicy, max_bytes: int) -> None:
-        super().__init__(incarnation, max_bytes)
+    def __init__(
+        self,
+        incarnation: int,
+        policy: UndurablePolicy,
+        max_bytes: int,
+        max_unread_us: int = 0,
+    ) -> None:
+        super().__init__(incarnation, max_bytes, max_unread_us)
         self.policy = policy
         self.pending_writes = PendingWrites()
         self.writes_in_flight: dict[int, str] = {}
@@ -74,7 +81,7 @@
             now_us: The current time.
             key: The key of the request.
             arrived_us: When the request arrived.
-            window_end_us: The time until which a duplicate of it must not run.
+            window_end_us: The time until which a duplicate of it may arrive that must not run.
             deadline_us: The time by which the request must be answered.
             run_us: How long the request's run usually takes.
             disk_accepts: Whether the disk accepts writes that requests wait for.
@@ -83,7 +90,7 @@
         Returns:
             The write to wait for, or an action to take at once.
         """
-        if self.find(now_us, key) is not None:
+        if self.find(arrived_us, key) is not None:
             return LedgerAction(ActionKind.REPORT_DUPLICATE, key)
         record = KeyRecord(
             RunPhase.STARTED,
--- a/gullyoke/durability/key_record.py
+++ b/gullyoke/durability/key_record.py
@@ -30,7 +30,7 @@
         phase: How far its run has got.
         incarnation: The number of the server start that wrote the record.
         arrived_us: When the attempt that was run arrived.
-        window_end_us: The time until which a duplicate must not run.
+        window_end_us: The time until which a duplicate may arrive that must not run.
         status: The status of the answer; 0 if the answer is not known.
         fields: The header fields of the answer.
         body: The body of the answer.
@@ -67,9 +67,14 @@
     RESULT = "result"  # it gets the recorded answer
 
 
-def judge_record(record: KeyRecord | None, now_us: int) -> DuplicateVerdict:
-    """Return what happens to a duplicate of a request, given the request's record if any."""
-    if record is None or now_us > record.window_end_us:
+def judge_record(record: KeyRecord | None, arrived_us: int) -> DuplicateVerdict:
+    """Return what happens to a duplicate of a request, given the request's record if any.
+
+    Args:
+        record: The record; None if there is none.
+        arrived_us: When the duplicate arrived, which may be long before it is read.
+    """
+    if record is None or arrived_us > record.window_end_us:
         return DuplicateVerdict.MAY_RUN
     if record.phase is RunPhase.ENDED and record.status:
         return DuplicateVerdict.RESULT
--- a/gullyoke/durability/record_table.py
+++ b/gullyoke/durability/record_table.py
@@ -67,22 +67,27 @@
 class RecordTable:
     """The requests with keys that this server start received and that earlier ones recorded.
 
+    A row stays beyond the end of its window for as long as a duplicate that arrived in time may
+    still be read.
+
     Attributes:
         rows: A row for each key; their records and results take at most `max_bytes`.
-        window_ends: A heap of the ends of windows, with the keys.
+        expiries: A heap of the times at which rows are no longer needed, with the keys.
         result_keys: The keys of rows with a result, in the order in which the runs ended.
         size_bytes: The size of the records and results in memory.
 
     Args:
         incarnation: The number of this server start.
         max_bytes: The most memory that records and results may take.
+        max_unread_us: How long after its arrival a duplicate may be read.
     """
 
-    def __init__(self, incarnation: int, max_bytes: int) -> None:
+    def __init__(self, incarnation: int, max_bytes: int, max_unread_us: int = 0) -> None:
         self.incarnation = incarnation
         self.max_bytes = max_bytes
         self.rows: dict[str, LedgerRow] = {}
-        self.window_ends: list[tuple[int, str]] = []
+        self.max_unread_us = max_unread_us
+        self.expiries: list[tuple[int, str]] = []
         self.result_keys: deque[str] = deque()
         self.size_bytes = 0
 
@@ -90,7 +95,7 @@
         """Add the records found on the disk; return the keys of expired ones, to be removed."""
         expired = []
         for key, record in found:
-            if judge_record(record, now_us) is DuplicateVerdict.MAY_RUN:
+            if now_us > self._expiry_us(record):
                 expired.append(key)
                 continue
             if not self.fits(record.memory_bytes()):
@@ -102,38 +107,47 @@
                 self.result_keys.append(key)
         return expired
 
-    def find(self, now_us: int, key: str) -> KeyRecord | None:
-        """Return the record of an earlier request with a key; None if the request may run."""
+    def find(self, arrived_us: int, key: str) -> KeyRecord | None:
+        """Return the record of an earlier request with a key; None if the request may run.
+
+        Args:
+            arrived_us: When the request arrived.
+            key: Its key.
+        """
         row = self.rows.get(key)
         if row is None or row.stage is KeyStage.ABANDONED:
             return None
-        if judge_record(row.record, now_us) is DuplicateVerdict.MAY_RUN:
+        if judge_record(row.record, arrived_us) is DuplicateVerdict.MAY_RUN:
             return None
         return row.record
 
     def expire(self, now_us: int) -> list[str]:
-        """Drop the rows whose window is over; return their keys, to be removed from the disk.
+        """Drop the rows that no duplicate needs any more; return their keys.
+
+        Their records are to be removed from the disk.
 
         A row whose request is running stays until the run has ended; it is checked again every
         RECHECK_RUNNING_US.
         """
         expired = []
-        while self.window_ends and self.window_ends[0][0] < now_us:
-            end_us, key = heapq.heappop(self.window_ends)
+        while self.expiries and self.expiries[0][0] < now_us:
+            expiry_us, key = heapq.heappop(self.expiries)
             row = self.rows.get(key)
-            if row is None or (
-                row.record.window_end_us > end_us and row.record.window_end_us >= now_us
-            ):
+            if row is None or expiry_us < self._expiry_us(row.record) >= now_us:
                 continue  # the row was dropped, or recorded again with a later window
             if self._is_over(row):
                 self._drop(key)
                 expired.append(key)
             else:
-                heapq.heappush(self.window_ends, (now_us + RECHECK_RUNNING_US, key))
+                heapq.heappush(self.expiries, (now_us + RECHECK_RUNNING_US, key))
         while self.result_keys and self.result_keys[0] not in self.rows:
             self.result_keys.popleft()
         return expired
 
+    def _expiry_us(self, record: KeyRecord) -> int:
+        """Return until when a duplicate that arrived within the record's window may be read."""
+        return record.window_end_us + self.max_unread_us
+
     def _is_over(self, row: LedgerRow) -> bool:
         """Return whether the run of a row has ended, or an earlier start recorded the row."""
         if row.stage is KeyStage.RUNNING:
@@ -179,7 +193,7 @@
         self._drop(key)
         self.rows[key] = row
         self.size_bytes += row.record.memory_bytes()
-        heapq.heappush(self.window_ends, (row.record.window_end_us, key))
+        heapq.heappush(self.expiries, (self._expiry_us(row.record), key))
 
     def _drop(self, key: str) -> None:
         row = self.rows.pop(key, None)
--- a/gullyoke/extensions/durable_executor.py
+++ b/gullyoke/extensions/durable_executor.py
@@ -161,7 +161,7 @@
         window_end = max(now, request.arrived) + (keyed_class.key_ttl or 2 * keyed_class.timeout)
 
         def begin_run() -> RecordWrite | LedgerAction:
-            if self.ledger.find(now, key) is None:
+            if self.ledger.find(request.arrived, key) is None:
                 self.pending_requests[key], self.key_by_request[request.request_id] = request, key
             return self.ledger.request_run(
                 now,
--- a/gullyoke/extensions/keys.py
+++ b/gullyoke/extensions/keys.py
@@ -87,8 +87,10 @@
 
         Args:
             fresh_for: for how long a result in memory is used, in microseconds.
-            find_record: returns the record of an earlier request, given the time and the key.
-            doubts_retries: returns whether retries of unknown requests may be duplicates now.
+            find_record: returns the record of an earlier request, given the arrival of the later
+                one and the key.
+            doubts_retries: returns whether retries of unknown requests that arrived at a time may
+                be duplicates.
         """
         super().__init__(fresh_for)
         self.find_record, self.doubts_retries = find_record, doubts_retries
@@ -119,12 +121,13 @@
             if has_result and _has_same_body(record, request):
                 entry.result = Answer(record.status, record.body, record.fields)
             return entry, REMEMBERED_REQUEST
-        if request.is_retry and self.doubts_retries(now):
+        if request.is_retry and self.doubts_retries(request.arrived):
             return KeyEntry(None, now), REMEMBERED_REQUEST
         return None, None
 
     def _stored_record(self, request: PendingRequest) -> KeyRecord | None:
-        return self.find_record(clock.now(), record_key(request.request_class.name, request.key))
+        key = record_key(request.request_class.name, request.key)
+        return self.find_record(request.arrived, key)
 
 
 def _has_same_body(record: KeyRecord, request: PendingRequest) -> bool:
@@ -178,6 +181,14 @@
             int(time.time()),
             UndurablePolicy(self.kept.without),
             min(MAX_MEMORY_BYTES, self.kept.quota // 2),
+            max(
+                [
+                    request_class.timeout
+                    for request_class in daemon.configuration.facts.request_classes
+                    if request_class.idempotency is not Idempotency.IDEMPOTENT
+                ],
+                default=0,
+            ),
         )
         self.folder = self.folders.open(self.kept.folder, self.kept.quota, daemon.metrics)
         self.window = max(
@@ -326,14 +337,14 @@
 
     # Called by the duplicate table and the executor.
 
-    def find_record(self, now: int, key: str) -> KeyRecord | None:
-        """Return the record of a key; None where there is none."""
+    def find_record(self, arrived: int, key: str) -> KeyRecord | None:
+        """Return the record of a key for a request that arrived at a time; None for none."""
         with self.durable_executor.lock:
-            return self.ledger.find(now, key)
+            return self.ledger.find(arrived, key)
 
-    def doubts_retries(self, now: int) -> bool:
-        """Return whether retries of unknown requests may be duplicates now."""
-        return not self.ready.is_set() or now < self.doubted_until_us
+    def doubts_retries(self, arrived: int) -> bool:
+        """Return whether retries of unknown requests that arrived at a time may be duplicates."""
+        return not self.ready.is_set() or arrived < self.doubted_until_us
 
     def disk_accepts(self) -> bool:
         """Return whether the disk accepts a write that a request waits for."""
--- a/tests/durability/test_rules.py
+++ b/tests/durability/test_rules.py
@@ -209,6 +209,24 @@
                 self.assertIsNotNone(key_ledger.explore_ledger(guard, 8).violation)
 
     @settings(max_examples=150, deadline=None, derandomize=True, database=None)
+    def test_repeat_read_after_the_window(self):
+        """The window ends by the arrival; a record stays until no repeat in time can be read."""
+        unread = 4 * SECOND
+        ledger = KeyLedger(1, UndurablePolicy.REJECT, 20_000, unread)
+        write = ledger.request_run(0, "k", 0, 20 * SECOND, 5 * SECOND, 1000, True)
+        ledger.write_finished(0, write, True)
+        end = ledger.end_run(0, "k", 200, (), b"x", True)
+        ledger.write_finished(0, end, True)
+        self.assertIsNotNone(ledger.find(20 * SECOND, "k"))
+        self.assertIsNone(ledger.find(20 * SECOND + 1, "k"))
+        self.assertEqual(ledger.expire(24 * SECOND), [])
+        restarted = KeyLedger(2, UndurablePolicy.REJECT, 20_000, unread)
+        self.assertEqual(restarted.recover(24 * SECOND, [("k", end.record)]), [])
+        self.assertIsNotNone(restarted.find(20 * SECOND, "k"))
+        self.assertEqual(ledger.expire(24 * SECOND + 1), ["k"])
+        self.assertEqual(restarted.recover(24 * SECOND + 1, [("m", end.record)]), ["m"])
+        self.assertEqual((ledger.size_bytes, ledger.expiries), (0, []))
+
     @given(st.integers(0, 10**6), st.sampled_from(list(UndurablePolicy)))
     def test_bounds_in_random_runs(self, seed, policy):
         """Random outcomes of writes at random times.
@@ -274,7 +292,7 @@
             take(ledger.end_run(now, running.pop(), 200, (), b"", False))
         self.assertEqual(requested, answered)
         ledger.expire(now + 60 * SECOND)
-        self.assertEqual((ledger.window_ends, len(ledger.result_keys)), ([], 0))
+        self.assertEqual((ledger.expiries, len(ledger.result_keys)), ([], 0))
         self.assertEqual(
             [row.stage for row in ledger.rows.values() if row.stage is not KeyStage.ABANDONED], []
         )
