Numbers that are not finite or too large are faults of the configuration

Settings of 1e300 were taken.

Cause: int() of infinity and NaN, and the parser's limit on nesting, raise what nothing caught; settings were checked for being finite, not for being small enough to be waited for.

Change: numbers go up to 2^53, stop_ms and limits.sockets to a thousandth; nesting is a fault of the file; what a reload raises beside is an internal error and the process goes on; a gauge must be finite.

--- a/gullyoke/daemon/configuration.py
+++ b/gullyoke/daemon/configuration.py
@@ -9,7 +9,7 @@
 
 from gullyoke.admission.interface import SiteFacts
 from gullyoke.errors import ConfigurationError
-from gullyoke.settings.reader import flatten_settings
+from gullyoke.settings.reader import MAX_NUMBER, flatten_settings
 from gullyoke.settings.site_settings import parse_site_facts
 
 Address = tuple[str, int]
@@ -18,6 +18,7 @@
 US_PER_MS: Final = 1000
 MIN_DESCRIPTORS: Final = 20
 DEFAULT_DESCRIPTORS: Final = 1024
+MAX_WHOLE_NUMBER: Final = MAX_NUMBER // 1000  # as milliseconds, still a number in microseconds
 LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
 #: The environment variables that override keys of the file.
 ENVIRONMENT_KEYS: Final = {"name": "NODE_NAME", "listen": "NODE_LISTEN"}
@@ -104,6 +105,16 @@
         ConfigurationError: a variable, the file, or a key is missing or invalid.
     """
     file = _read_file(environment)
+    try:
+        return _check(file, environment, engine_optional)
+    except RecursionError:
+        path = environment["NODE_CONFIG"]
+        raise ConfigurationError(f"NODE_CONFIG: {path} is nested too deeply") from None
+
+
+def _check(
+    file: Json, environment: Mapping[str, str], engine_optional: bool
+) -> DaemonConfiguration:
     limits = _object(file, "limits", {})
     log_level = _log_level(environment)
     settings = flatten_settings(_object(file, "settings"))
@@ -137,7 +148,7 @@
     try:
         with open(path, encoding="utf-8") as opened:
             found = json.load(opened)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigurationError(f"NODE_CONFIG: {path} can't be read: {error}") from None
     if not isinstance(found, dict):
         raise ConfigurationError(f"NODE_CONFIG: {path} does not contain a JSON object")
@@ -186,9 +197,11 @@
 def _whole_number(found: Json, key: str, minimum: int, default: int | None = None) -> int:
     value = _value(found, key, default)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or value != int(value) or value < minimum:
+    # No comparison with NaN holds; infinity is too large.
+    if not is_number or not minimum <= value <= MAX_WHOLE_NUMBER or value != int(value):
         raise ConfigurationError(
             f"key '{key}' is {value!r}, not a whole number of at least {minimum}"
+            f" and at most {MAX_WHOLE_NUMBER}"
         )
     return int(value)
 
--- a/gullyoke/daemon/daemon.py
+++ b/gullyoke/daemon/daemon.py
@@ -152,8 +152,14 @@
             extension.log_status()
 
     def apply_reload(self) -> None:
-        """Read the configuration again and apply the values that may change while serving."""
-        self.configuration = self.reloader.reload(self.configuration)
+        """Read the configuration again and apply the values that may change while serving.
+
+        Whatever is wrong with it, the process goes on.
+        """
+        try:
+            self.configuration = self.reloader.reload(self.configuration)
+        except Exception:
+            self.metrics.record_internal_error("reload")
         self.connection_limits.set_limit(max_connections(self.configuration, self.extensions))
 
     def begin_drain(self, stop: ReceivedSignal) -> None:
--- a/gullyoke/executors/engine_protocol.py
+++ b/gullyoke/executors/engine_protocol.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
 from typing import Final, NamedTuple
 
 from gullyoke.codec import lines
@@ -128,11 +130,10 @@
     """Return the value of a gauge.
 
     Raises:
-        ConnectionClosedError: The text is not a number.
+        ConnectionClosedError: The text is not a finite number.
     """
-    try:
-        return float(text)
-    except ValueError:
-        raise ConnectionClosedError(
-            CloseReason.GARBLED, f"gauge value {text[:20]!r} is not a number"
-        ) from None
+    with contextlib.suppress(ValueError):
+        value = float(text)
+        if math.isfinite(value):
+            return value
+    raise ConnectionClosedError(CloseReason.GARBLED, f"gauge value {text[:20]!r} is not a number")
--- a/gullyoke/settings/reader.py
+++ b/gullyoke/settings/reader.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Mapping
 from typing import Final, TypeVar
 
 from gullyoke.errors import ConfigurationError
 
+#: The largest number of a setting: whole numbers up to here are exact as floats, and as
+#: microseconds (285 years) they can be waited for.
+MAX_NUMBER: Final = 2**53
 BOOLEANS: Final = {"true": True, "false": False, "1": True, "0": False}
 
+NOT_TOO_LARGE: Final = f", at most {MAX_NUMBER}"
+
 Value = TypeVar("Value")
 Number = TypeVar("Number", int, float)
 
@@ -51,7 +55,7 @@
         return value
 
     def number(self, key: str, default: float | None = None, minimum: float = 0.0) -> float:
-        """Return a finite number of `minimum` or more.
+        """Return a number of `minimum` or more, and at most `MAX_NUMBER`.
 
         Raises:
             ConfigurationError: the text is not such a number, or is missing without a default.
@@ -61,8 +65,8 @@
         return self._convert(
             key,
             self.text(key),
-            lambda text: _at_least(float(text), minimum),
-            f"a number, {minimum:g} or more",
+            lambda text: parse_number(text, minimum),
+            f"a number, {minimum:g} or more{NOT_TOO_LARGE}",
         )
 
     def optional_number(self, key: str) -> float | None:
@@ -74,7 +78,7 @@
         return self.number(key) if self._has(key) else None
 
     def whole_number(self, key: str, default: int | None = None, minimum: int = 0) -> int:
-        """Return a whole number of `minimum` or more.
+        """Return a whole number of `minimum` or more, and at most `MAX_NUMBER`.
 
         Raises:
             ConfigurationError: the text is not such a number, or is missing without a default.
@@ -84,8 +88,8 @@
         return self._convert(
             key,
             self.text(key),
-            lambda text: _at_least(_whole(text), minimum),
-            f"a whole number, {minimum} or more",
+            lambda text: _checked(_whole(text), minimum),
+            f"a whole number, {minimum} or more{NOT_TOO_LARGE}",
         )
 
     def boolean(self, key: str, default: str | None = None) -> bool:
@@ -160,8 +164,17 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
-def _at_least(value: Number, minimum: Number) -> Number:
-    if not math.isfinite(value) or value < minimum:
+def parse_number(text: str, minimum: float = 0.0) -> float:
+    """Return the number in a text.
+
+    Raises:
+        ValueError: the text is not a number from `minimum` to `MAX_NUMBER`.
+    """
+    return _checked(float(text), minimum)
+
+
+def _checked(value: Number, minimum: Number) -> Number:
+    if not minimum <= value <= MAX_NUMBER:  # which no comparison with NaN satisfies
         raise ValueError(value)
     return value
 
--- a/gullyoke/settings/site_settings.py
+++ b/gullyoke/settings/site_settings.py
@@ -21,7 +21,7 @@
     StopMode,
     Tenant,
 )
-from gullyoke.settings.reader import BOOLEANS, SettingsReader
+from gullyoke.settings.reader import BOOLEANS, MAX_NUMBER, SettingsReader, parse_number
 
 IDEMPOTENCY: Final = {
     "repeatable": Idempotency.IDEMPOTENT,
@@ -75,7 +75,9 @@
     Two settings list one value for each class; a class past the end of a list gets the default.
     """
     calls_dependency = family.list_of("CallsByClass", BOOLEANS.__getitem__)
-    degraded_value_share = family.list_of("ClassSkipWorth", float)
+    degraded_value_share = family.list_of(
+        "ClassSkipWorth", lambda text: parse_number(text, -MAX_NUMBER)
+    )
     classes = []
     for index in range(site.whole_number("Profiles.count", minimum=1)):
         classes.append(
