A socket scenario waits until the server has noticed that its engine's link broke

Cause, by trace: the test broke the link and gave the reply without waiting for the server to notice.

Change: the scenario waits for the link's end; its checks are as before.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -663,12 +663,17 @@
             f"{name}={wanted} in {[x for x in self.lines if 'counters' in x][-1:]}",
         )
 
-    def at_ended(self, wanted):
-        """Wait until this many gateway connections have ended, for whatever reason."""
+    def at_ended(self, wanted, peer="gateway"):
+        """Wait until this many connections of gateways, or of another peer, have ended.
+
+        Those that were refused never began.
+        """
 
         def ask():
             return sum(
-                int(n) for name, n in self.counters().items() if name.startswith("ends_gateway_")
+                int(n)
+                for name, n in self.counters().items()
+                if name.startswith(f"ends_{peer}_") and name != f"ends_{peer}_refused"
             )
 
         self.eventually(lambda: ask() == int(wanted), f"{wanted} connections ended")
